--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,4 @@
+//! rosewall: decides which worker gets which txn. See `policy` for the decisions and how to call them.
+pub mod pcg;
+pub mod policy;
+pub mod types;
--- /dev/null
+++ b/src/pcg.rs
@@ -0,0 +1,29 @@
+//! PCG-XSH-RR 64/32 (M. E. O'Neill, 2014): the only source of chance in the decisions.
+
+pub struct Pcg {
+    state: u64,
+}
+
+const MULTIPLIER: u64 = 6364136223846793005;
+const INCREMENT: u64 = 1442695040888963407;
+
+impl Pcg {
+    pub fn new(seed: u64) -> Self {
+        let mut pcg = Self {
+            state: seed.wrapping_add(INCREMENT),
+        };
+        pcg.draw();
+        pcg
+    }
+
+    fn draw(&mut self) -> u32 {
+        let old = self.state;
+        self.state = old.wrapping_mul(MULTIPLIER).wrapping_add(INCREMENT);
+        ((((old >> 18) ^ old) >> 27) as u32).rotate_right((old >> 59) as u32)
+    }
+
+    /// A number from 0 up to, but not including, 1.
+    pub fn unit(&mut self) -> f64 {
+        f64::from(self.draw()) / (f64::from(u32::MAX) + 1.0)
+    }
+}
--- /dev/null
+++ b/src/policy.rs
@@ -0,0 +1,1041 @@
+//! Every decision of rosewall. One `Dispatcher` serves one submitter and shares nothing with others.
+//!
+//! How it is called: `Dispatcher::start(now, seed, &map)` once, then `handle(now, event, &mut actions)`
+//! for each event in the order of arrival. The same calls always give the same actions. Times are
+//! nanoseconds on the caller's clock. The interface (events, actions, ids, outcomes) stands in
+//! `types.rs`; the names that the map may hold stand in `docs/design.md`.
+//!
+//! How to read it: `TABLE` says what may follow for a txn, `choose` picks its worker, `recut` draws the
+//! lanes by DIFFEQAL, `Worker` holds what is believed of a worker, and `handle` joins them.
+use crate::pcg::Pcg;
+use crate::types::{Action, Event, Listed, Nanos, Outcome, Report, Scope, Standing, Txn, TxnId, WorkerId};
+use rustc_hash::FxHashMap;
+use slab::Slab;
+use std::collections::BTreeMap;
+use std::str::FromStr;
+
+#[cfg(test)]
+mod tests;
+
+type Map = BTreeMap<String, String>;
+
+const SECOND: f64 = 1e9;
+
+fn pick<T: FromStr>(map: &Map, name: &str) -> Result<T, String> {
+    let value = map
+        .get(name)
+        .ok_or_else(|| format!("setting {name} is missing"))?;
+    value
+        .parse()
+        .map_err(|_| format!("setting {name} cannot be read: {value:?}"))
+}
+
+fn fade(value: f64, since: Nanos, now: Nanos, half: f64) -> f64 {
+    value * (-(now.saturating_sub(since) as f64) / half).exp2()
+}
+
+// ---- What may follow for a txn -------------------------------------------------------------------
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Effect {
+    Repeatable,
+    Referenced,
+    OnceOnly,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Stage {
+    /// Nothing out, and nothing that forbids a decline.
+    Held,
+    /// One posting out; all before it are harmless.
+    Out,
+    /// Nothing out; an earlier posting may have run.
+    Doubted,
+    /// One posting out; an earlier one may have run.
+    Again,
+    /// The final answer is given; postings may still be out.
+    Answered,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Input {
+    Posted,
+    Settled,
+    NotRun,
+    MayHaveRun,
+    GivenUp,
+    Left,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Step {
+    Nothing,
+    Place,
+    Decline,
+    Reverse,
+}
+
+use Effect::{OnceOnly, Referenced, Repeatable};
+use Stage::{Again, Answered, Doubted, Held, Out};
+
+const ALL: &[Effect] = &[Repeatable, Referenced, OnceOnly];
+
+/// State, input, for which effects, next state, effect. What is not listed changes nothing.
+const TABLE: &[(Stage, Input, &[Effect], Stage, Step)] = &[
+    (Held, Input::Posted, ALL, Out, Step::Nothing),
+    (Held, Input::GivenUp, ALL, Answered, Step::Decline),
+    (Held, Input::Left, ALL, Answered, Step::Nothing),
+    (Out, Input::Settled, ALL, Answered, Step::Nothing),
+    (Out, Input::NotRun, ALL, Held, Step::Place),
+    (Out, Input::MayHaveRun, &[Repeatable], Held, Step::Place),
+    (Out, Input::MayHaveRun, &[Referenced], Doubted, Step::Place),
+    (Out, Input::MayHaveRun, &[OnceOnly], Answered, Step::Reverse),
+    (Out, Input::GivenUp, ALL, Answered, Step::Reverse),
+    (Out, Input::Left, ALL, Answered, Step::Nothing),
+    (Doubted, Input::Posted, &[Referenced], Again, Step::Nothing),
+    (Doubted, Input::GivenUp, &[Referenced], Answered, Step::Reverse),
+    (Doubted, Input::Left, &[Referenced], Answered, Step::Nothing),
+    (Again, Input::Settled, &[Referenced], Answered, Step::Nothing),
+    (Again, Input::NotRun, &[Referenced], Doubted, Step::Place),
+    (Again, Input::MayHaveRun, &[Referenced], Doubted, Step::Place),
+    (Again, Input::GivenUp, &[Referenced], Answered, Step::Reverse),
+    (Again, Input::Left, &[Referenced], Answered, Step::Nothing),
+];
+
+fn next(stage: Stage, input: Input, effect: Effect) -> (Stage, Step) {
+    for (at, on, effects, to, step) in TABLE {
+        if *at == stage && *on == input && effects.contains(&effect) {
+            return (*to, *step);
+        }
+    }
+    (stage, Step::Nothing)
+}
+
+/// An outcome counts as "not run" only where it proves it.
+fn sorted(outcome: Outcome) -> Input {
+    match outcome {
+        Outcome::Settled => Input::Settled,
+        Outcome::Full | Outcome::NoConnection | Outcome::Moot => Input::NotRun,
+        Outcome::Error | Outcome::TimeOut | Outcome::Broken | Outcome::Withdrawn => Input::MayHaveRun,
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Posting {
+    worker: usize,
+    at: Nanos,
+    started: Option<Nanos>,
+    out: bool,
+}
+
+/// Postings kept for one txn; where more are allowed, no more than these are made.
+const LEGS: usize = 6;
+
+#[derive(Debug)]
+struct InHand {
+    txn: Txn,
+    effect: Effect,
+    stage: Stage,
+    /// Hint times slots.
+    work: f64,
+    due: Nanos,
+    legs: [Posting; LEGS],
+    posted: usize,
+    /// The first posting that may have run: its worker and when it was sent.
+    doubt: Option<(usize, Nanos)>,
+}
+
+// ---- The mechanism: lanes by DIFFEQAL ------------------------------------------------------------
+
+/// Four bins an octave from 1 ms up reach 64 s; a bin is then narrower than a hint is exact.
+const BINS: usize = 64;
+const BINS_AN_OCTAVE: f64 = 4.0;
+const FIRST_EDGE: f64 = 1e6;
+
+type Bins = [f64; BINS];
+
+fn bin_of(work: f64) -> usize {
+    ((work / FIRST_EDGE).max(1.0).log2() * BINS_AN_OCTAVE) as usize
+}
+
+fn edge(bin: usize) -> f64 {
+    FIRST_EDGE * (bin as f64 / BINS_AN_OCTAVE).exp2()
+}
+
+/// The source's semi-geometric routine: `n` shifts that sum to 0, the first of them `-r`.
+fn shifts(n: usize, r: f64) -> Vec<f64> {
+    let (mut p, mut adjust) = (vec![0.0; n], -r);
+    for i in 0..n.saturating_sub(1) {
+        p[i] += adjust;
+        let each = adjust / (n - 1 - i) as f64;
+        p[i + 1..].iter_mut().for_each(|later| *later -= each);
+        adjust /= 2.0;
+    }
+    p
+}
+
+/// Boundaries that give lane i the part `targets[i]` of the work in `bins`, cut inside a bin.
+fn cut(bins: &Bins, targets: &[f64]) -> Vec<f64> {
+    let scale = bins.iter().sum::<f64>() / targets.iter().sum::<f64>().max(f64::MIN_POSITIVE);
+    let (mut bin, mut used, mut cuts) = (0, 0.0, Vec::new());
+    for target in &targets[..targets.len().saturating_sub(1)] {
+        let mut left = target * scale;
+        while bin < BINS && bins[bin] - used <= left {
+            left -= bins[bin] - used;
+            (bin, used) = (bin + 1, 0.0);
+        }
+        if bin < BINS {
+            used += left;
+            cuts.push(edge(bin) + (edge(bin + 1) - edge(bin)) * used / bins[bin]);
+        } else {
+            cuts.push(f64::INFINITY);
+        }
+    }
+    cuts
+}
+
+/// The work in `bins` that lies below the size `x`.
+fn below(bins: &Bins, x: f64) -> f64 {
+    let bin = if x < f64::INFINITY {
+        bin_of(x).min(BINS)
+    } else {
+        BINS
+    };
+    let part = if bin < BINS {
+        ((x - edge(bin)) / (edge(bin + 1) - edge(bin))).clamp(0.0, 1.0)
+    } else {
+        0.0
+    };
+    bins[..bin].iter().sum::<f64>() + bins.get(bin).map_or(0.0, |work| work * part)
+}
+
+/// Step two: lane i keeps (1 + shift i) times the work that step one's `cuts` gave it of this scheme.
+fn recut_class(bins: &Bins, cuts: &[f64], shift: &[f64]) -> Vec<f64> {
+    let mut from = 0.0;
+    let ends = cuts
+        .iter()
+        .map(|cut| below(bins, *cut))
+        .chain([bins.iter().sum()]);
+    let targets: Vec<f64> = ends
+        .zip(shift)
+        .map(|(end, p)| (1.0 + p) * (end - std::mem::replace(&mut from, end)))
+        .collect();
+    cut(bins, &targets)
+}
+
+/// The gaps between arrivals of one priority class, for their lag-one autocorrelation.
+#[derive(Default)]
+struct Gaps {
+    from: Nanos,
+    last: Option<Nanos>,
+    before: f64,
+    count: f64,
+    sum: f64,
+    squares: f64,
+    products: f64,
+    estimate: f64,
+}
+
+impl Gaps {
+    fn arrival(&mut self, now: Nanos) {
+        if let Some(last) = self.last {
+            let gap = (now - last) as f64 / SECOND;
+            self.count += 1.0;
+            self.sum += gap;
+            self.squares += gap * gap;
+            self.products += gap * self.before;
+            self.before = gap;
+        }
+        self.last = Some(now);
+    }
+
+    /// The design page's figures: over 5 s, and the last estimate stays until 100 gaps exist.
+    fn measure(&mut self, now: Nanos) {
+        if now - self.from < 5_000_000_000 || self.count < 100.0 {
+            return;
+        }
+        let mean = self.sum / self.count;
+        let variance = self.squares / self.count - mean * mean;
+        let covariance = self.products / (self.count - 1.0) - mean * mean;
+        let estimate = if variance > 0.0 {
+            covariance / variance
+        } else {
+            0.0
+        };
+        *self = Gaps {
+            from: now,
+            last: self.last,
+            estimate,
+            ..Gaps::default()
+        };
+    }
+}
+
+/// R, then the shift of the low and of the high class, from both autocorrelations.
+fn corrections(low: f64, high: f64) -> (f64, f64, f64) {
+    // Present above 0.1; shifts of 40, 40 and 20%: all from the design page.
+    let present = |estimate: f64| estimate > 0.1;
+    let r = if present(low) || present(high) { 0.4 } else { 0.0 };
+    if present(high) && high > low {
+        (r, 0.0, 0.2)
+    } else {
+        (r, 0.4, 0.0)
+    }
+}
+
+struct Scheme {
+    effect: Effect,
+    group: String,
+    window: Nanos,
+    sla: f64,
+    stretch: f64,
+    value: f64,
+    kind: i64,
+    high: bool,
+    bins: Bins,
+    seen: f64,
+    lanes: Vec<usize>,
+    cuts: Vec<f64>,
+}
+
+impl Scheme {
+    fn read(map: &Map, at: usize) -> Result<Self, String> {
+        let name = |part: &str| format!("scheme.{at}.{part}");
+        Ok(Scheme {
+            effect: match pick::<String>(map, &name("effect"))?.as_str() {
+                "repeatable" => Repeatable,
+                "referenced" => Referenced,
+                "once-only" => OnceOnly,
+                other => return Err(format!("setting {} cannot be read: {other:?}", name("effect"))),
+            },
+            group: pick(map, &name("group"))?,
+            window: pick(map, &name("window"))?,
+            sla: pick(map, &name("sla"))?,
+            stretch: if map.contains_key(&name("stretch")) {
+                pick(map, &name("stretch"))?
+            } else {
+                0.0
+            },
+            value: pick(map, &name("value"))?,
+            kind: if map.contains_key(&name("kind")) {
+                pick(map, &name("kind"))?
+            } else {
+                -1
+            },
+            high: false,
+            bins: [0.0; BINS],
+            seen: 0.0,
+            lanes: Vec::new(),
+            cuts: Vec::new(),
+        })
+    }
+
+    /// The mean work of late, for a txn without a valid hint.
+    fn mean(&self) -> f64 {
+        if self.seen > 0.0 {
+            self.bins.iter().sum::<f64>() / self.seen
+        } else {
+            0.1 * SECOND
+        }
+    }
+}
+
+// ---- What is believed of a worker ----------------------------------------------------------------
+
+struct Worker {
+    id: WorkerId,
+    standing: Standing,
+    zone: u16,
+    kind: u8,
+    group: u16,
+    size: f64,
+    started: Nanos,
+    /// Most jobs known to have run on it at once.
+    seats: f64,
+    /// Running time for one unit of hinted work.
+    pace: f64,
+    distrust: f64,
+    distrust_at: Nanos,
+    /// When it last gave a sign of life.
+    alive: Nanos,
+    /// How long the last posting waited for its start.
+    lag: f64,
+    lag_at: Nanos,
+    /// Slots that others hold by its last report.
+    others: f64,
+    others_at: Nanos,
+    /// This dispatcher's part of what may still be sent while it is cold.
+    budget: f64,
+    budget_at: Nanos,
+    /// This dispatcher's postings out, those not started among them, and the running time they still need.
+    out: f64,
+    waiting: f64,
+    ahead: f64,
+}
+
+impl Worker {
+    /// Distrust halves in 5 s: several times the time between postings to one worker at low traffic.
+    fn distrust(&self, now: Nanos) -> f64 {
+        fade(self.distrust, self.distrust_at, now, 5.0 * SECOND)
+    }
+
+    fn blame(&mut self, now: Nanos, by: f64) {
+        let d = self.distrust(now);
+        (self.distrust, self.distrust_at) = (d + (1.0 - d) * by, now);
+    }
+
+    fn clear(&mut self, now: Nanos, by: f64) {
+        (self.distrust, self.distrust_at, self.alive) = (self.distrust(now) * (1.0 - by), now, now);
+    }
+
+    /// How long a new job would wait for its start, by what this dispatcher knows.
+    fn wait(&self, now: Nanos, mean: f64) -> f64 {
+        // Reports and start delays tell of others' work, which changes as fast as jobs end: about 1 s.
+        let others = fade(self.others, self.others_at, now, SECOND);
+        let lag = fade(self.lag, self.lag_at, now, 0.5 * SECOND);
+        let own = if self.out + others + 1.0 <= self.seats {
+            0.0
+        } else {
+            (self.ahead + others * mean) / self.seats
+        };
+        own.max(lag)
+    }
+}
+
+// ---- The dispatcher ------------------------------------------------------------------------------
+
+pub struct Dispatcher {
+    chance: Pcg,
+    schemes: Vec<Scheme>,
+    workers: Vec<Worker>,
+    known: FxHashMap<WorkerId, usize>,
+    txns: Slab<InHand>,
+    held: FxHashMap<TxnId, usize>,
+    gaps: [Gaps; 2],
+    report_fields: Vec<String>,
+    dispatchers: f64,
+    most_postings: usize,
+    come_back_most: Nanos,
+    may_withdraw: bool,
+    tells_start: bool,
+    cold_from: f64,
+    cold_time: f64,
+    fall_multiple: f64,
+    fall_window: f64,
+    list_asked: bool,
+    following: bool,
+    ask_at: Nanos,
+    ask_failures: u32,
+    beating: bool,
+    cut_at: Nanos,
+}
+
+/// The timer of the beat; all others carry a txn's id and leg.
+const BEAT: u64 = u64::MAX;
+const BEAT_EVERY: Nanos = 1_000_000_000;
+
+impl Dispatcher {
+    pub fn start(now: Nanos, seed: u64, map: &Map) -> Result<Self, String> {
+        let count: usize = pick(map, "scheme.count")?;
+        let mut schemes = (0..count)
+            .map(|at| Scheme::read(map, at))
+            .collect::<Result<Vec<_>, _>>()?;
+        let mut values: Vec<f64> = schemes.iter().map(|scheme| scheme.value).collect();
+        values.sort_by(f64::total_cmp);
+        let median = if count == 0 {
+            0.0
+        } else {
+            (values[(count - 1) / 2] + values[count / 2]) / 2.0
+        };
+        schemes
+            .iter_mut()
+            .for_each(|scheme| scheme.high = scheme.value > median);
+        let come_back: bool = pick(map, "come_back.allowed")?;
+        Ok(Dispatcher {
+            chance: Pcg::new(seed),
+            schemes,
+            workers: Vec::new(),
+            known: FxHashMap::default(),
+            txns: Slab::new(),
+            held: FxHashMap::default(),
+            gaps: [
+                Gaps {
+                    from: now,
+                    ..Gaps::default()
+                },
+                Gaps {
+                    from: now,
+                    ..Gaps::default()
+                },
+            ],
+            report_fields: pick::<String>(map, "report.fields")?
+                .split(',')
+                .map(String::from)
+                .collect(),
+            dispatchers: pick::<f64>(map, "dispatchers")?.max(1.0),
+            most_postings: pick::<usize>(map, "posting.most")?.min(LEGS),
+            come_back_most: if come_back {
+                pick(map, "come_back.most")?
+            } else {
+                0
+            },
+            may_withdraw: pick(map, "withdraw.allowed")?,
+            tells_start: pick(map, "tells_start")?,
+            cold_from: pick(map, "cold.from")?,
+            cold_time: pick(map, "cold.time")?,
+            fall_multiple: pick(map, "fall.multiple")?,
+            fall_window: pick(map, "fall.window")?,
+            list_asked: pick::<String>(map, "list.mode")? == "asked",
+            following: false,
+            ask_at: 0,
+            ask_failures: 0,
+            beating: false,
+            cut_at: 0,
+        })
+    }
+
+    pub fn handle(&mut self, now: Nanos, event: Event, acts: &mut Vec<Action>) {
+        if !self.beating {
+            self.beating = true;
+            acts.push(Action::Timer {
+                at: now + BEAT_EVERY,
+                token: BEAT,
+            });
+        }
+        match event {
+            Event::List { scope, entries } => self.list(now, scope, &entries, acts),
+            Event::Arrived(txn) => self.arrived(now, txn, acts),
+            Event::Started { txn, leg } => self.started(now, txn, leg, acts),
+            Event::Progress { txn, leg, .. } => {
+                if let Some((_, posting)) = self.posting(txn, leg) {
+                    self.workers[posting.worker].alive = now;
+                }
+            }
+            Event::StreamBegun { txn } | Event::Lapsed { txn } => self.input(now, txn, Input::Left, acts),
+            Event::Ended {
+                txn,
+                leg,
+                outcome,
+                complete,
+                report,
+            } => {
+                self.ended(now, txn, leg, outcome, complete, report, acts);
+            }
+            Event::Probed {
+                worker,
+                outcome,
+                report,
+                ..
+            } => {
+                if let Some(&at) = self.known.get(&worker)
+                    && outcome == Outcome::Settled
+                {
+                    self.workers[at].alive = now;
+                    self.read_report(now, at, report);
+                }
+            }
+            Event::Due { token: BEAT } => {
+                acts.push(Action::Timer {
+                    at: now + BEAT_EVERY,
+                    token: BEAT,
+                });
+                self.gaps.iter_mut().for_each(|gaps| gaps.measure(now));
+                self.recut(now);
+                self.follow(now, acts);
+            }
+            Event::Due { token } => self.watch(now, token, acts),
+        }
+    }
+
+    // -- Following the list --
+
+    fn follow(&mut self, now: Nanos, acts: &mut Vec<Action>) {
+        if self.list_asked && !self.following && now >= self.ask_at {
+            // One call at a time: the next is due only when this one has failed.
+            self.ask_at = Nanos::MAX;
+            acts.push(Action::Follow);
+        }
+    }
+
+    fn list(&mut self, now: Nanos, scope: Scope, entries: &[Listed], acts: &mut Vec<Action>) {
+        match scope {
+            Scope::Failed => {
+                // Twice as long after each failure up to 4 s, spread so that dispatchers do not call as one.
+                let wait = 0.5 * SECOND * f64::from(1 << self.ask_failures.min(3));
+                self.ask_failures += 1;
+                self.following = false;
+                self.ask_at = now + (wait * (0.5 + self.chance.unit())) as Nanos;
+                return;
+            }
+            Scope::Kept => {}
+            Scope::Changes | Scope::Whole => (self.following, self.ask_failures) = (true, 0),
+        }
+        if scope != Scope::Changes {
+            // Whoever a whole list leaves out is gone.
+            self.workers
+                .iter_mut()
+                .for_each(|worker| worker.standing = Standing::Gone);
+        }
+        for entry in entries {
+            let at = *self.known.entry(entry.worker).or_insert(self.workers.len());
+            if at == self.workers.len() {
+                self.workers.push(Worker {
+                    id: entry.worker,
+                    standing: entry.standing,
+                    zone: entry.zone,
+                    kind: entry.kind,
+                    group: entry.group,
+                    size: 0.0,
+                    started: entry.started,
+                    seats: 1.0,
+                    pace: 1.0,
+                    distrust: 0.0,
+                    distrust_at: now,
+                    alive: now,
+                    lag: 0.0,
+                    lag_at: now,
+                    others: 0.0,
+                    others_at: now,
+                    budget: 0.0,
+                    budget_at: now,
+                    out: 0.0,
+                    waiting: 0.0,
+                    ahead: 0.0,
+                });
+            }
+            let worker = &mut self.workers[at];
+            if entry.started != worker.started {
+                // A new process: what was held against the old one is void, and it starts cold.
+                (worker.started, worker.distrust, worker.lag, worker.budget) = (entry.started, 0.0, 0.0, 0.0);
+                worker.budget_at = now;
+            }
+            (worker.standing, worker.zone, worker.kind) = (entry.standing, entry.zone, entry.kind);
+            (worker.group, worker.size) = (entry.group, f64::from(entry.size).max(0.01));
+        }
+        self.recut(now);
+        self.follow(now, acts);
+    }
+
+    /// The part of its full capacity that a worker surely has: the settings' slowest way up.
+    fn warmth(&self, worker: &Worker, now: Nanos) -> f64 {
+        if worker.started == 0 {
+            return 1.0;
+        }
+        let age = now.saturating_sub(worker.started) as f64;
+        (self.cold_from + (1.0 - self.cold_from) * age / self.cold_time.max(1.0)).min(1.0)
+    }
+
+    /// Refills and returns the cold budget of a worker: none while it is warm.
+    fn budget(&mut self, at: usize, now: Nanos) -> Option<f64> {
+        let warmth = self.warmth(&self.workers[at], now);
+        if warmth >= 1.0 {
+            return None;
+        }
+        // Full capacity by what is known of the fleet: seats for its size, the worst seen of warm ones.
+        let unit = |w: &Worker| w.seats / w.pace / w.size;
+        let warm = self
+            .workers
+            .iter()
+            .filter(|w| w.standing != Standing::Gone && w.started != now);
+        let unit = warm.map(unit).fold(f64::INFINITY, f64::min);
+        let worker = &self.workers[at];
+        let capacity = unit.min(4.0) * worker.size * warmth;
+        // Half as a store and half as a flow keep any window under the whole; 0.7 for what hints miss.
+        let rate = 0.7 * self.fall_multiple * capacity / self.dispatchers / 2.0;
+        let store = rate * self.fall_window;
+        let gained = rate * (now - worker.budget_at) as f64;
+        let worker = &mut self.workers[at];
+        worker.budget = (worker.budget + gained).min(store);
+        worker.budget_at = now;
+        Some(worker.budget)
+    }
+
+    // -- Lanes --
+
+    /// Draws every scheme's lanes anew.
+    fn recut(&mut self, now: Nanos) {
+        // Half the histogram's weight is of the last 20 s: some hundred jobs where a dispatcher sees 5/s.
+        let keep = fade(1.0, self.cut_at, now, 20.0 * SECOND);
+        self.cut_at = now;
+        for scheme in &mut self.schemes {
+            scheme.bins.iter_mut().for_each(|work| *work *= keep);
+            scheme.seen *= keep;
+        }
+        let mut order: Vec<usize> = (0..self.workers.len()).collect();
+        order.retain(|at| self.workers[*at].standing == Standing::Ready);
+        order.sort_unstable_by_key(|at| self.workers[*at].id);
+        let (r, low, high) = corrections(self.gaps[0].estimate, self.gaps[1].estimate);
+        let lone =
+            self.schemes.iter().all(|scheme| !scheme.high) || self.schemes.iter().all(|scheme| scheme.high);
+        for at in 0..self.schemes.len() {
+            let kind = self.schemes[at].kind;
+            let lanes: Vec<usize> = order
+                .iter()
+                .copied()
+                .filter(|w| kind < 0 || i64::from(self.workers[*w].kind) == kind)
+                .collect();
+            let mut whole = [0.0; BINS];
+            for scheme in self.schemes.iter().filter(|scheme| scheme.kind == kind) {
+                whole
+                    .iter_mut()
+                    .zip(&scheme.bins)
+                    .for_each(|(sum, work)| *sum += work);
+            }
+            let share = |w: &usize| {
+                let worker = &self.workers[*w];
+                worker.size * (1.0 - self.doubt(*w, now)) * self.warmth(worker, now)
+            };
+            let targets: Vec<f64> = shifts(lanes.len(), r)
+                .iter()
+                .zip(&lanes)
+                .map(|(p, w)| (1.0 + p) * share(w))
+                .collect();
+            let cuts = cut(&whole, &targets);
+            let scheme = &mut self.schemes[at];
+            let shift = shifts(lanes.len(), if scheme.high { high } else { low });
+            scheme.cuts = if lone {
+                cuts
+            } else {
+                recut_class(&scheme.bins, &cuts, &shift)
+            };
+            scheme.lanes = lanes;
+        }
+    }
+
+    /// Distrust above the fleet's mean: when all look bad at once, no one is worse than another.
+    fn doubt(&self, at: usize, now: Nanos) -> f64 {
+        let ready = self
+            .workers
+            .iter()
+            .filter(|worker| worker.standing == Standing::Ready);
+        let (sum, count) = ready.fold((0.0, 0.0), |(s, n), w| (s + w.distrust(now), n + 1.0));
+        (self.workers[at].distrust(now) - sum / f64::max(count, 1.0)).clamp(0.0, 0.95)
+    }
+
+    /// Counts this dispatcher's postings out and the running time they still need.
+    fn tally(&mut self, now: Nanos) {
+        for worker in &mut self.workers {
+            (worker.out, worker.waiting, worker.ahead) = (0.0, 0.0, 0.0);
+        }
+        for (_, hand) in &self.txns {
+            for posting in hand.legs[..hand.posted].iter().filter(|posting| posting.out) {
+                let worker = &mut self.workers[posting.worker];
+                let expected = hand.work * worker.pace;
+                worker.out += 1.0;
+                worker.ahead += match posting.started {
+                    // A job past its hint has, as such sizes go, about a third of its age still to run.
+                    Some(from) => (expected - (now - from) as f64).max(0.3 * (now - from) as f64),
+                    None => expected,
+                };
+                if posting.started.is_none() {
+                    worker.waiting += 1.0;
+                    let age = (now - posting.at) as f64;
+                    if age > fade(worker.lag, worker.lag_at, now, 0.5 * SECOND) {
+                        (worker.lag, worker.lag_at) = (age, now);
+                    }
+                }
+            }
+        }
+    }
+
+    /// The worker for a txn, and how long it would wait there: its lane's, or the nearest id neighbour
+    /// that can start it soon enough; failing that, the one with the least to wait.
+    fn choose(&mut self, now: Nanos, key: usize) -> Option<(usize, f64)> {
+        self.tally(now);
+        let hand = &self.txns[key];
+        let (work, due, doubt) = (hand.work, hand.due, hand.doubt);
+        let last = hand.posted.checked_sub(1).map(|leg| hand.legs[leg].worker);
+        let scheme = &self.schemes[usize::from(hand.txn.scheme)];
+        let (lanes, mean) = (scheme.lanes.clone(), scheme.mean());
+        let (group, window) = (scheme.group.clone(), scheme.window);
+        // With under 8 jobs in the histogram it cannot be cut: the lane is drawn by chance.
+        let mine = if scheme.cuts.len() + 1 != lanes.len() || scheme.seen < 8.0 {
+            ((self.chance.unit() * lanes.len() as f64) as usize).min(lanes.len().saturating_sub(1))
+        } else {
+            scheme.cuts.partition_point(|cut| *cut <= work)
+        };
+        let room = due.saturating_sub(now) as f64 - work;
+        let mut best: Option<(usize, f64)> = None;
+        for step in 0..2 * lanes.len() {
+            let far = step.div_ceil(2);
+            let lane = if step % 2 == 1 {
+                mine.checked_add(far)
+            } else {
+                mine.checked_sub(far)
+            };
+            let Some(&at) = lane.and_then(|lane| lanes.get(lane)) else {
+                continue;
+            };
+            if let Some((first, since)) = doubt {
+                let (a, b) = (&self.workers[first], &self.workers[at]);
+                let drops = match group.as_str() {
+                    "all" => true,
+                    "zone" => a.zone == b.zone,
+                    _ => a.group == b.group,
+                };
+                if !drops || now >= since + window {
+                    continue;
+                }
+            }
+            if self.budget(at, now).is_some_and(|budget| budget < work) {
+                continue;
+            }
+            let mut cost = self.workers[at].wait(now, mean) + self.doubt(at, now) * room.max(SECOND);
+            if last == Some(at) && lanes.len() > 1 {
+                cost += SECOND;
+            }
+            // A quarter of the room before the SLA time may go in waiting before a neighbour is asked.
+            if cost <= 0.25 * room {
+                return Some((at, cost));
+            }
+            if best.is_none_or(|(_, least)| cost < least) {
+                best = Some((at, cost));
+            }
+        }
+        best
+    }
+
+    // -- Txns --
+
+    fn arrived(&mut self, now: Nanos, txn: Txn, acts: &mut Vec<Action>) {
+        let Some(scheme) = self.schemes.get_mut(usize::from(txn.scheme)) else {
+            // A scheme that the settings do not name: nothing is known that would make sending it safe.
+            acts.push(Action::Decline {
+                txn: txn.id,
+                come_back: 0,
+            });
+            return;
+        };
+        let hint = txn.hint.map_or_else(|| scheme.mean(), |hint| hint as f64);
+        let work = hint * f64::from(txn.slots).max(1.0);
+        scheme.bins[bin_of(work).min(BINS - 1)] += work;
+        scheme.seen += 1.0;
+        self.gaps[usize::from(scheme.high)].arrival(now);
+        let due = (now + (scheme.sla + scheme.stretch * hint) as Nanos).min(txn.expiry);
+        let none = Posting {
+            worker: 0,
+            at: 0,
+            started: None,
+            out: false,
+        };
+        let effect = scheme.effect;
+        let hand = InHand {
+            txn,
+            effect,
+            stage: Held,
+            work,
+            due,
+            legs: [none; LEGS],
+            posted: 0,
+            doubt: None,
+        };
+        let key = self.txns.insert(hand);
+        self.held.insert(txn.id, key);
+        self.place(now, key, acts);
+    }
+
+    fn place(&mut self, now: Nanos, key: usize, acts: &mut Vec<Action>) {
+        let hand = &self.txns[key];
+        let (id, due, work, expiry) = (hand.txn.id, hand.due, hand.work, hand.txn.expiry);
+        if hand.posted >= self.most_postings || now >= expiry {
+            return self.input(now, id, Input::GivenUp, acts);
+        }
+        let room = due.saturating_sub(now) as f64 - work;
+        match self.choose(now, key) {
+            Some((at, cost)) if cost <= room.max(0.0) || self.kept(key, room, cost) => {
+                self.post(now, key, at, cost, acts);
+            }
+            // Cold workers may soon take more: ask again shortly, as long as it can still be in time.
+            None if room > 0.0 => {
+                let token = u64::from(id) | (self.txns[key].posted as u64) << 32;
+                acts.push(Action::Timer {
+                    at: now + 25_000_000,
+                    token,
+                });
+            }
+            _ => self.input(now, id, Input::GivenUp, acts),
+        }
+    }
+
+    /// Whether a txn that would come late is sent all the same: by chance, the dearer more often.
+    fn kept(&mut self, key: usize, room: f64, cost: f64) -> bool {
+        let value = self.schemes[usize::from(self.txns[key].txn.scheme)].value;
+        let most = self.schemes.iter().map(|scheme| scheme.value).fold(0.0, f64::max);
+        let fits = (room.max(0.0) / cost).min(1.0);
+        self.chance.unit() < fits.powf(most / value.max(1e-9))
+    }
+
+    fn post(&mut self, now: Nanos, key: usize, at: usize, cost: f64, acts: &mut Vec<Action>) {
+        let hand = &mut self.txns[key];
+        let worker = &mut self.workers[at];
+        worker.budget -= hand.work;
+        hand.legs[hand.posted] = Posting {
+            worker: at,
+            at: now,
+            started: None,
+            out: true,
+        };
+        let token = u64::from(hand.txn.id) | (hand.posted as u64) << 32;
+        hand.posted += 1;
+        hand.stage = next(hand.stage, Input::Posted, hand.effect).0;
+        acts.push(Action::Post {
+            txn: hand.txn.id,
+            worker: worker.id,
+            within: 0,
+        });
+        // Overdue: a start later than expected by 300 ms, or without start notes by twice the run.
+        let run = if self.tells_start {
+            0.0
+        } else {
+            2.0 * hand.work * worker.pace
+        };
+        let at = now + (cost.min(2.0 * SECOND) * 1.5 + run + 0.3 * SECOND) as Nanos;
+        acts.push(Action::Timer { at, token });
+    }
+
+    fn posting(&self, txn: TxnId, leg: u8) -> Option<(usize, Posting)> {
+        let key = *self.held.get(&txn)?;
+        let hand = &self.txns[key];
+        let posting = hand.legs[..hand.posted].get(usize::from(leg))?;
+        posting.out.then_some((key, *posting))
+    }
+
+    fn started(&mut self, now: Nanos, txn: TxnId, leg: u8, acts: &mut Vec<Action>) {
+        let Some((key, posting)) = self.posting(txn, leg) else {
+            return;
+        };
+        self.txns[key].legs[usize::from(leg)].started = Some(now);
+        self.tally(now);
+        let hand = &self.txns[key];
+        let worker = &mut self.workers[posting.worker];
+        worker.seats = worker.seats.max(worker.out - worker.waiting);
+        (worker.lag, worker.lag_at) = ((now - posting.at) as f64, now);
+        worker.clear(now, 0.1);
+        let run = 2.0 * hand.work * worker.pace + 0.5 * SECOND;
+        let token = u64::from(txn) | u64::from(leg) << 32;
+        acts.push(Action::Timer {
+            at: now + run as Nanos,
+            token,
+        });
+    }
+
+    /// A timer of one txn: it is still held, or a posting is overdue.
+    fn watch(&mut self, now: Nanos, token: u64, acts: &mut Vec<Action>) {
+        let (txn, leg) = (token as TxnId, (token >> 32) as usize);
+        let Some(&key) = self.held.get(&txn) else { return };
+        let hand = &self.txns[key];
+        if matches!(hand.stage, Held | Doubted) && leg == hand.posted {
+            return self.place(now, key, acts);
+        }
+        let Some((_, posting)) = self.posting(txn, leg as u8) else {
+            return;
+        };
+        let (stage, effect, due, work) = (hand.stage, hand.effect, hand.due, hand.work);
+        let worker = &mut self.workers[posting.worker];
+        // A worker that has shown life since is only busy; one that has not may be hung.
+        let age = now - posting.started.unwrap_or(posting.at);
+        if posting.started.is_some() {
+            worker.blame(now, 0.15);
+        } else if worker.alive < posting.at {
+            worker.blame(now, 0.5);
+        }
+        acts.push(Action::Timer {
+            at: now + age.max(300_000_000),
+            token,
+        });
+        // What has not started is taken elsewhere while that can still be in time.
+        let spare = due.saturating_sub(now) as f64 - work;
+        let moves = matches!(stage, Out | Again) && effect != OnceOnly && self.may_withdraw;
+        if moves && posting.started.is_none() && spare > 0.0 && hand.posted < self.most_postings {
+            acts.push(Action::Withdraw { txn, leg: leg as u8 });
+        }
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn ended(
+        &mut self,
+        now: Nanos,
+        txn: TxnId,
+        leg: u8,
+        outcome: Outcome,
+        complete: bool,
+        report: Report,
+        acts: &mut Vec<Action>,
+    ) {
+        let Some((key, posting)) = self.posting(txn, leg) else {
+            return;
+        };
+        self.txns[key].legs[usize::from(leg)].out = false;
+        self.read_report(now, posting.worker, report);
+        let work = self.txns[key].work;
+        let worker = &mut self.workers[posting.worker];
+        match outcome {
+            Outcome::Settled => {
+                if let Some(from) = posting.started {
+                    // One job tells little of a worker's pace (its hint may be off): a tenth at a time.
+                    let pace = ((now - from) as f64 / work).clamp(0.2, 10.0);
+                    worker.pace += 0.1 * (pace - worker.pace);
+                }
+                worker.clear(now, 0.2);
+            }
+            Outcome::Full => (worker.lag, worker.lag_at, worker.alive) = (0.5 * SECOND, now, now),
+            Outcome::Error => worker.blame(now, 0.3),
+            Outcome::NoConnection | Outcome::Broken => worker.blame(now, 0.6),
+            Outcome::TimeOut => worker.blame(now, 0.5),
+            Outcome::Withdrawn | Outcome::Moot => {}
+        }
+        let input = if complete { Input::Settled } else { sorted(outcome) };
+        let hand = &mut self.txns[key];
+        if input == Input::MayHaveRun && hand.doubt.is_none() && hand.effect == Referenced {
+            hand.doubt = Some((posting.worker, posting.at));
+        }
+        self.input(now, txn, input, acts);
+    }
+
+    fn read_report(&mut self, now: Nanos, at: usize, report: Report) {
+        let value = |name: &str| {
+            let place = self.report_fields.iter().position(|field| field == name)?;
+            report.values[..report.count]
+                .get(place)
+                .map(|value| f64::from(*value))
+        };
+        let (free, inflight) = (value("free-slots"), value("inflight"));
+        if free.is_none() && inflight.is_none() {
+            return;
+        }
+        self.tally(now);
+        let worker = &mut self.workers[at];
+        let running = worker.out - worker.waiting;
+        if let Some(free) = free {
+            worker.seats = worker.seats.max((free + running).floor());
+            worker.others = (worker.seats - free - running).max(0.0);
+        }
+        if let Some(inflight) = inflight {
+            worker.others = (inflight - worker.out).max(0.0);
+        }
+        worker.others_at = now;
+    }
+
+    /// Runs one input for a txn through the table and carries out what follows.
+    fn input(&mut self, now: Nanos, txn: TxnId, input: Input, acts: &mut Vec<Action>) {
+        let Some(&key) = self.held.get(&txn) else { return };
+        let hand = &mut self.txns[key];
+        let (stage, step) = next(hand.stage, input, hand.effect);
+        hand.stage = stage;
+        match step {
+            Step::Nothing => {}
+            Step::Place => return self.place(now, key, acts),
+            Step::Decline => {
+                // Come back when a usual job has had time to end.
+                let come_back = self.come_back_most.min(500_000_000);
+                acts.push(Action::Decline { txn, come_back });
+            }
+            Step::Reverse => acts.push(Action::Reverse { txn }),
+        }
+        let hand = &self.txns[key];
+        if hand.stage == Answered && hand.legs[..hand.posted].iter().all(|posting| !posting.out) {
+            self.held.remove(&txn);
+            self.txns.remove(key);
+        }
+    }
+}
--- /dev/null
+++ b/src/types.rs
@@ -0,0 +1,139 @@
+//! The words between the decisions and whatever carries them: events in, actions out.
+
+/// Times and spans, in whole nanoseconds.
+pub type Nanos = u64;
+pub type TxnId = u32;
+
+/// A worker's address, as it was given; its order is the order of the lanes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct WorkerId {
+    pub addr: [u8; 4],
+    pub port: u16,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    Ready,
+    Draining,
+    Gone,
+}
+
+/// One line of the list of workers. `started` is 0 for a worker that has been up for long.
+#[derive(Clone, Copy, Debug)]
+pub struct Listed {
+    pub worker: WorkerId,
+    pub standing: Standing,
+    pub zone: u16,
+    pub kind: u8,
+    pub size: f32,
+    pub started: Nanos,
+    pub group: u16,
+}
+
+/// What a list event covers. `Kept` is the whole list as last known before a restart.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Scope {
+    Changes,
+    Whole,
+    Kept,
+    Failed,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    Settled,
+    Error,
+    Full,
+    TimeOut,
+    NoConnection,
+    Broken,
+    Withdrawn,
+    Moot,
+}
+
+/// A worker's load report: the values of the setting `report.fields`, in its order.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Report {
+    pub count: usize,
+    pub values: [f32; 4],
+}
+
+/// A request as it comes in. `expiry` is the moment at which the client stops waiting.
+#[derive(Clone, Copy, Debug)]
+pub struct Txn {
+    pub id: TxnId,
+    pub scheme: u8,
+    pub party: u16,
+    pub hint: Option<Nanos>,
+    pub slots: f32,
+    pub expiry: Nanos,
+}
+
+#[derive(Clone, Debug)]
+pub enum Event {
+    List {
+        scope: Scope,
+        entries: Vec<Listed>,
+    },
+    Arrived(Txn),
+    Started {
+        txn: TxnId,
+        leg: u8,
+    },
+    Progress {
+        txn: TxnId,
+        leg: u8,
+        share: f32,
+    },
+    StreamBegun {
+        txn: TxnId,
+    },
+    Ended {
+        txn: TxnId,
+        leg: u8,
+        outcome: Outcome,
+        complete: bool,
+        report: Report,
+    },
+    Lapsed {
+        txn: TxnId,
+    },
+    Probed {
+        worker: WorkerId,
+        outcome: Outcome,
+        latency: Nanos,
+        report: Report,
+    },
+    Due {
+        token: u64,
+    },
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    Post {
+        txn: TxnId,
+        worker: WorkerId,
+        within: Nanos,
+    },
+    Withdraw {
+        txn: TxnId,
+        leg: u8,
+    },
+    Decline {
+        txn: TxnId,
+        come_back: Nanos,
+    },
+    Reverse {
+        txn: TxnId,
+    },
+    Probe {
+        worker: WorkerId,
+    },
+    Follow,
+    Timer {
+        at: Nanos,
+        token: u64,
+    },
+    Say(String),
+}
