--- a/crates/wirehost/src/main.rs
+++ b/crates/wirehost/src/main.rs
@@ -32,8 +32,7 @@
                 Incoming::Unknown => {}
                 Incoming::Create { seed, settings } => {
                     let instance = current.ok_or("a start before any instance was named")?;
-                    self.instances
-                        .insert(instance, Dispatcher::start(now, seed, &settings)?);
+                    self.instances.insert(instance, Dispatcher::start(now, seed, &settings)?);
                 }
                 Incoming::Stop => {
                     let instance = current.ok_or("a stop before any instance was named")?;
@@ -50,9 +49,7 @@
                         translate::switch(instance, reply);
                         answering = Some(instance);
                     }
-                    self.actions
-                        .drain(..)
-                        .for_each(|action| translate::outgoing(&action, reply));
+                    self.actions.drain(..).for_each(|action| translate::outgoing(&action, reply));
                 }
             }
         }
--- a/crates/wirehost/src/translate.rs
+++ b/crates/wirehost/src/translate.rs
@@ -6,10 +6,7 @@
 /// What a record of a batch asks of the host.
 pub enum Incoming {
     Switch(u32),
-    Create {
-        seed: u64,
-        settings: BTreeMap<String, String>,
-    },
+    Create { seed: u64, settings: BTreeMap<String, String> },
     Stop,
     For(Event),
     Unknown,
@@ -23,10 +20,7 @@
             let length = f.u32()? as usize;
             let text =
                 std::str::from_utf8(f.take(length)?).map_err(|_| "settings are not UTF-8".to_string())?;
-            return Ok(Incoming::Create {
-                seed,
-                settings: settings(text)?,
-            });
+            return Ok(Incoming::Create { seed, settings: settings(text)? });
         }
         10 => return Ok(Incoming::Stop),
         2 => list(&mut f)?,
@@ -69,15 +63,7 @@
             other => return Err(format!("unknown availability {other} of a worker")),
         };
         let (zone, kind, size, started, group) = (f.u16()?, f.u8()?, f.f32()?, f.u64()?, f.u16()?);
-        entries.push(Listed {
-            worker: worker(f)?,
-            standing,
-            zone,
-            kind,
-            size,
-            started,
-            group,
-        });
+        entries.push(Listed { worker: worker(f)?, standing, zone, kind, size, started, group });
     }
     Ok(Event::List { scope, entries })
 }
@@ -88,14 +74,7 @@
     let (id, hint, scheme, _entity) = (f.u32()?, f.u64()?, f.u8()?, f.u64()?);
     let (party, expiry, bits, slots) = (f.u16()?, f.u64()?, f.u16()?, f.f32()?);
     let hint = (bits & VALID_HINT != 0 && hint > 0).then_some(hint);
-    Ok(Txn {
-        id,
-        scheme,
-        party,
-        hint,
-        slots,
-        expiry,
-    })
+    Ok(Txn { id, scheme, party, hint, slots, expiry })
 }
 
 fn outcome(code: u16) -> Result<Outcome, Fault> {
@@ -132,23 +111,12 @@
     if !f.is_empty() {
         let _note = f.u8()?;
     }
-    Ok(Event::Ended {
-        txn,
-        leg,
-        outcome,
-        complete,
-        report: report(f)?,
-    })
+    Ok(Event::Ended { txn, leg, outcome, complete, report: report(f)? })
 }
 
 fn probed(f: &mut Fields<'_>) -> Result<Event, Fault> {
     let (worker, latency) = (worker(f)?, f.u64()?);
-    Ok(Event::Probed {
-        worker,
-        outcome: outcome(f.u16()?)?,
-        latency,
-        report: report(f)?,
-    })
+    Ok(Event::Probed { worker, outcome: outcome(f.u16()?)?, latency, report: report(f)? })
 }
 
 fn note(f: &mut Fields<'_>) -> Result<Option<Event>, Fault> {
@@ -203,10 +171,8 @@
 ];
 
 /// Lists with one value a scheme.
-const BY_SCHEME: &[(&str, &str)] = &[
-    ("FamilyInfo.ClassStretch", "stretch"),
-    ("FamilyInfo.ClassKind", "kind"),
-];
+const BY_SCHEME: &[(&str, &str)] =
+    &[("FamilyInfo.ClassStretch", "stretch"), ("FamilyInfo.ClassKind", "kind")];
 
 /// Words that a value may hold.
 const VALUES: &[(&str, &str)] = &[
@@ -220,10 +186,7 @@
 ];
 
 fn find<'a>(table: &[(&str, &'a str)], word: &str) -> Option<&'a str> {
-    table
-        .iter()
-        .find(|(theirs, _)| *theirs == word)
-        .map(|(_, ours)| *ours)
+    table.iter().find(|(theirs, _)| *theirs == word).map(|(_, ours)| *ours)
 }
 
 /// The settings as a plain map under our names; what has no name here is left out.
@@ -231,16 +194,14 @@
     let mut map = BTreeMap::new();
     let mut report_words = BTreeMap::new();
     for line in text.lines().filter(|line| !line.is_empty()) {
-        let (path, value) = line
-            .split_once('=')
-            .ok_or_else(|| format!("setting without a value: {line:?}"))?;
+        let (path, value) =
+            line.split_once('=').ok_or_else(|| format!("setting without a value: {line:?}"))?;
         let ours = find(VALUES, value).unwrap_or(value).to_string();
         if let Some(name) = find(NAMES, path) {
             map.insert(name.to_string(), ours);
         } else if let Some(name) = find(BY_SCHEME, path) {
             for (at, one) in value.split(',').enumerate() {
-                map.entry(format!("scheme.{at}.{name}"))
-                    .or_insert_with(|| one.to_string());
+                map.entry(format!("scheme.{at}.{name}")).or_insert_with(|| one.to_string());
             }
         } else if let Some((prefix, part)) = path.rsplit_once('.')
             && let Some(name) = find(PART_NAMES, part)
@@ -259,9 +220,7 @@
         }
     }
     if let Some(fields) = map.get_mut("report.fields") {
-        let words = fields
-            .split(',')
-            .map(|word| report_words.get(word).map_or(word, String::as_str));
+        let words = fields.split(',').map(|word| report_words.get(word).map_or(word, String::as_str));
         *fields = words.collect::<Vec<_>>().join(",");
     }
     Ok(map)
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -22,12 +22,8 @@
 const SECOND: f64 = 1e9;
 
 fn pick<T: FromStr>(map: &Map, name: &str) -> Result<T, String> {
-    let value = map
-        .get(name)
-        .ok_or_else(|| format!("setting {name} is missing"))?;
-    value
-        .parse()
-        .map_err(|_| format!("setting {name} cannot be read: {value:?}"))
+    let value = map.get(name).ok_or_else(|| format!("setting {name} is missing"))?;
+    value.parse().map_err(|_| format!("setting {name} cannot be read: {value:?}"))
 }
 
 fn fade(value: f64, since: Nanos, now: Nanos, half: f64) -> f64 {
@@ -196,30 +192,17 @@
 
 /// The work in `bins` that lies below the size `x`.
 fn below(bins: &Bins, x: f64) -> f64 {
-    let bin = if x < f64::INFINITY {
-        bin_of(x).min(BINS)
-    } else {
-        BINS
-    };
-    let part = if bin < BINS {
-        ((x - edge(bin)) / (edge(bin + 1) - edge(bin))).clamp(0.0, 1.0)
-    } else {
-        0.0
-    };
+    let bin = if x < f64::INFINITY { bin_of(x).min(BINS) } else { BINS };
+    let part = if bin < BINS { ((x - edge(bin)) / (edge(bin + 1) - edge(bin))).clamp(0.0, 1.0) } else { 0.0 };
     bins[..bin].iter().sum::<f64>() + bins.get(bin).map_or(0.0, |work| work * part)
 }
 
 /// Step two: lane i keeps (1 + shift i) times the work that step one's `cuts` gave it of this scheme.
 fn recut_class(bins: &Bins, cuts: &[f64], shift: &[f64]) -> Vec<f64> {
     let mut from = 0.0;
-    let ends = cuts
-        .iter()
-        .map(|cut| below(bins, *cut))
-        .chain([bins.iter().sum()]);
-    let targets: Vec<f64> = ends
-        .zip(shift)
-        .map(|(end, p)| (1.0 + p) * (end - std::mem::replace(&mut from, end)))
-        .collect();
+    let ends = cuts.iter().map(|cut| below(bins, *cut)).chain([bins.iter().sum()]);
+    let targets: Vec<f64> =
+        ends.zip(shift).map(|(end, p)| (1.0 + p) * (end - std::mem::replace(&mut from, end))).collect();
     cut(bins, &targets)
 }
 
@@ -257,17 +240,8 @@
         let mean = self.sum / self.count;
         let variance = self.squares / self.count - mean * mean;
         let covariance = self.products / (self.count - 1.0) - mean * mean;
-        let estimate = if variance > 0.0 {
-            covariance / variance
-        } else {
-            0.0
-        };
-        *self = Gaps {
-            from: now,
-            last: self.last,
-            estimate,
-            ..Gaps::default()
-        };
+        let estimate = if variance > 0.0 { covariance / variance } else { 0.0 };
+        *self = Gaps { from: now, last: self.last, estimate, ..Gaps::default() };
     }
 }
 
@@ -276,11 +250,7 @@
     // Present above 0.1; shifts of 40, 40 and 20%: all from the design page.
     let present = |estimate: f64| estimate > 0.1;
     let r = if present(low) || present(high) { 0.4 } else { 0.0 };
-    if present(high) && high > low {
-        (r, 0.0, 0.2)
-    } else {
-        (r, 0.4, 0.0)
-    }
+    if present(high) && high > low { (r, 0.0, 0.2) } else { (r, 0.4, 0.0) }
 }
 
 struct Scheme {
@@ -311,17 +281,9 @@
             group: pick(map, &name("group"))?,
             window: pick(map, &name("window"))?,
             sla: pick(map, &name("sla"))?,
-            stretch: if map.contains_key(&name("stretch")) {
-                pick(map, &name("stretch"))?
-            } else {
-                0.0
-            },
+            stretch: if map.contains_key(&name("stretch")) { pick(map, &name("stretch"))? } else { 0.0 },
             value: pick(map, &name("value"))?,
-            kind: if map.contains_key(&name("kind")) {
-                pick(map, &name("kind"))?
-            } else {
-                -1
-            },
+            kind: if map.contains_key(&name("kind")) { pick(map, &name("kind"))? } else { -1 },
             high: false,
             bins: [0.0; BINS],
             seen: 0.0,
@@ -332,11 +294,7 @@
 
     /// The mean work of late, for a txn without a valid hint.
     fn mean(&self) -> f64 {
-        if self.seen > 0.0 {
-            self.bins.iter().sum::<f64>() / self.seen
-        } else {
-            0.1 * SECOND
-        }
+        if self.seen > 0.0 { self.bins.iter().sum::<f64>() / self.seen } else { 0.1 * SECOND }
     }
 }
 
@@ -437,19 +395,11 @@
 impl Dispatcher {
     pub fn start(now: Nanos, seed: u64, map: &Map) -> Result<Self, String> {
         let count: usize = pick(map, "scheme.count")?;
-        let mut schemes = (0..count)
-            .map(|at| Scheme::read(map, at))
-            .collect::<Result<Vec<_>, _>>()?;
+        let mut schemes = (0..count).map(|at| Scheme::read(map, at)).collect::<Result<Vec<_>, _>>()?;
         let mut values: Vec<f64> = schemes.iter().map(|scheme| scheme.value).collect();
         values.sort_by(f64::total_cmp);
-        let median = if count == 0 {
-            0.0
-        } else {
-            (values[(count - 1) / 2] + values[count / 2]) / 2.0
-        };
-        schemes
-            .iter_mut()
-            .for_each(|scheme| scheme.high = scheme.value > median);
+        let median = if count == 0 { 0.0 } else { (values[(count - 1) / 2] + values[count / 2]) / 2.0 };
+        schemes.iter_mut().for_each(|scheme| scheme.high = scheme.value > median);
         let come_back: bool = pick(map, "come_back.allowed")?;
         Ok(Dispatcher {
             chance: Pcg::new(seed),
@@ -458,27 +408,11 @@
             known: FxHashMap::default(),
             txns: Slab::new(),
             held: FxHashMap::default(),
-            gaps: [
-                Gaps {
-                    from: now,
-                    ..Gaps::default()
-                },
-                Gaps {
-                    from: now,
-                    ..Gaps::default()
-                },
-            ],
-            report_fields: pick::<String>(map, "report.fields")?
-                .split(',')
-                .map(String::from)
-                .collect(),
+            gaps: [Gaps { from: now, ..Gaps::default() }, Gaps { from: now, ..Gaps::default() }],
+            report_fields: pick::<String>(map, "report.fields")?.split(',').map(String::from).collect(),
             dispatchers: pick::<f64>(map, "dispatchers")?.max(1.0),
             most_postings: pick::<usize>(map, "posting.most")?.min(LEGS),
-            come_back_most: if come_back {
-                pick(map, "come_back.most")?
-            } else {
-                0
-            },
+            come_back_most: if come_back { pick(map, "come_back.most")? } else { 0 },
             may_withdraw: pick(map, "withdraw.allowed")?,
             tells_start: pick(map, "tells_start")?,
             cold_from: pick(map, "cold.from")?,
@@ -497,10 +431,7 @@
     pub fn handle(&mut self, now: Nanos, event: Event, acts: &mut Vec<Action>) {
         if !self.beating {
             self.beating = true;
-            acts.push(Action::Timer {
-                at: now + BEAT_EVERY,
-                token: BEAT,
-            });
+            acts.push(Action::Timer { at: now + BEAT_EVERY, token: BEAT });
         }
         match event {
             Event::List { scope, entries } => self.list(now, scope, &entries, acts),
@@ -512,21 +443,10 @@
                 }
             }
             Event::StreamBegun { txn } | Event::Lapsed { txn } => self.input(now, txn, Input::Left, acts),
-            Event::Ended {
-                txn,
-                leg,
-                outcome,
-                complete,
-                report,
-            } => {
+            Event::Ended { txn, leg, outcome, complete, report } => {
                 self.ended(now, txn, leg, outcome, complete, report, acts);
             }
-            Event::Probed {
-                worker,
-                outcome,
-                report,
-                ..
-            } => {
+            Event::Probed { worker, outcome, report, .. } => {
                 if let Some(&at) = self.known.get(&worker)
                     && outcome == Outcome::Settled
                 {
@@ -535,10 +455,7 @@
                 }
             }
             Event::Due { token: BEAT } => {
-                acts.push(Action::Timer {
-                    at: now + BEAT_EVERY,
-                    token: BEAT,
-                });
+                acts.push(Action::Timer { at: now + BEAT_EVERY, token: BEAT });
                 self.gaps.iter_mut().for_each(|gaps| gaps.measure(now));
                 self.recut(now);
                 self.follow(now, acts);
@@ -572,9 +489,7 @@
         }
         if scope != Scope::Changes {
             // Whoever a whole list leaves out is gone.
-            self.workers
-                .iter_mut()
-                .for_each(|worker| worker.standing = Standing::Gone);
+            self.workers.iter_mut().for_each(|worker| worker.standing = Standing::Gone);
         }
         for entry in entries {
             let at = *self.known.entry(entry.worker).or_insert(self.workers.len());
@@ -633,10 +548,7 @@
         }
         // Full capacity by what is known of the fleet: seats for its size, the worst seen of warm ones.
         let unit = |w: &Worker| w.seats / w.pace / w.size;
-        let warm = self
-            .workers
-            .iter()
-            .filter(|w| w.standing != Standing::Gone && w.started != now);
+        let warm = self.workers.iter().filter(|w| w.standing != Standing::Gone && w.started != now);
         let unit = warm.map(unit).fold(f64::INFINITY, f64::min);
         let worker = &self.workers[at];
         let capacity = unit.min(4.0) * worker.size * warmth;
@@ -676,38 +588,25 @@
                 .collect();
             let mut whole = [0.0; BINS];
             for scheme in self.schemes.iter().filter(|scheme| scheme.kind == kind) {
-                whole
-                    .iter_mut()
-                    .zip(&scheme.bins)
-                    .for_each(|(sum, work)| *sum += work);
+                whole.iter_mut().zip(&scheme.bins).for_each(|(sum, work)| *sum += work);
             }
             let share = |w: &usize| {
                 let worker = &self.workers[*w];
                 worker.size * (1.0 - self.doubt(*w, now)) * self.warmth(worker, now)
             };
-            let targets: Vec<f64> = shifts(lanes.len(), r)
-                .iter()
-                .zip(&lanes)
-                .map(|(p, w)| (1.0 + p) * share(w))
-                .collect();
+            let targets: Vec<f64> =
+                shifts(lanes.len(), r).iter().zip(&lanes).map(|(p, w)| (1.0 + p) * share(w)).collect();
             let cuts = cut(&whole, &targets);
             let scheme = &mut self.schemes[at];
             let shift = shifts(lanes.len(), if scheme.high { high } else { low });
-            scheme.cuts = if lone {
-                cuts
-            } else {
-                recut_class(&scheme.bins, &cuts, &shift)
-            };
+            scheme.cuts = if lone { cuts } else { recut_class(&scheme.bins, &cuts, &shift) };
             scheme.lanes = lanes;
         }
     }
 
     /// Distrust above the fleet's mean: when all look bad at once, no one is worse than another.
     fn doubt(&self, at: usize, now: Nanos) -> f64 {
-        let ready = self
-            .workers
-            .iter()
-            .filter(|worker| worker.standing == Standing::Ready);
+        let ready = self.workers.iter().filter(|worker| worker.standing == Standing::Ready);
         let (sum, count) = ready.fold((0.0, 0.0), |(s, n), w| (s + w.distrust(now), n + 1.0));
         (self.workers[at].distrust(now) - sum / f64::max(count, 1.0)).clamp(0.0, 0.95)
     }
@@ -758,11 +657,7 @@
         let mut best: Option<(usize, f64)> = None;
         for step in 0..2 * lanes.len() {
             let far = step.div_ceil(2);
-            let lane = if step % 2 == 1 {
-                mine.checked_add(far)
-            } else {
-                mine.checked_sub(far)
-            };
+            let lane = if step % 2 == 1 { mine.checked_add(far) } else { mine.checked_sub(far) };
             let Some(&at) = lane.and_then(|lane| lanes.get(lane)) else {
                 continue;
             };
@@ -800,10 +695,7 @@
     fn arrived(&mut self, now: Nanos, txn: Txn, acts: &mut Vec<Action>) {
         let Some(scheme) = self.schemes.get_mut(usize::from(txn.scheme)) else {
             // A scheme that the settings do not name: nothing is known that would make sending it safe.
-            acts.push(Action::Decline {
-                txn: txn.id,
-                come_back: 0,
-            });
+            acts.push(Action::Decline { txn: txn.id, come_back: 0 });
             return;
         };
         let hint = txn.hint.map_or_else(|| scheme.mean(), |hint| hint as f64);
@@ -812,23 +704,9 @@
         scheme.seen += 1.0;
         self.gaps[usize::from(scheme.high)].arrival(now);
         let due = (now + (scheme.sla + scheme.stretch * hint) as Nanos).min(txn.expiry);
-        let none = Posting {
-            worker: 0,
-            at: 0,
-            started: None,
-            out: false,
-        };
+        let none = Posting { worker: 0, at: 0, started: None, out: false };
         let effect = scheme.effect;
-        let hand = InHand {
-            txn,
-            effect,
-            stage: Held,
-            work,
-            due,
-            legs: [none; LEGS],
-            posted: 0,
-            doubt: None,
-        };
+        let hand = InHand { txn, effect, stage: Held, work, due, legs: [none; LEGS], posted: 0, doubt: None };
         let key = self.txns.insert(hand);
         self.held.insert(txn.id, key);
         self.place(now, key, acts);
@@ -848,10 +726,7 @@
             // Cold workers may soon take more: ask again shortly, as long as it can still be in time.
             None if room > 0.0 => {
                 let token = u64::from(id) | (self.txns[key].posted as u64) << 32;
-                acts.push(Action::Timer {
-                    at: now + 25_000_000,
-                    token,
-                });
+                acts.push(Action::Timer { at: now + 25_000_000, token });
             }
             _ => self.input(now, id, Input::GivenUp, acts),
         }
@@ -869,26 +744,13 @@
         let hand = &mut self.txns[key];
         let worker = &mut self.workers[at];
         worker.budget -= hand.work;
-        hand.legs[hand.posted] = Posting {
-            worker: at,
-            at: now,
-            started: None,
-            out: true,
-        };
+        hand.legs[hand.posted] = Posting { worker: at, at: now, started: None, out: true };
         let token = u64::from(hand.txn.id) | (hand.posted as u64) << 32;
         hand.posted += 1;
         hand.stage = next(hand.stage, Input::Posted, hand.effect).0;
-        acts.push(Action::Post {
-            txn: hand.txn.id,
-            worker: worker.id,
-            within: 0,
-        });
+        acts.push(Action::Post { txn: hand.txn.id, worker: worker.id, within: 0 });
         // Overdue: a start later than expected by 300 ms, or without start notes by twice the run.
-        let run = if self.tells_start {
-            0.0
-        } else {
-            2.0 * hand.work * worker.pace
-        };
+        let run = if self.tells_start { 0.0 } else { 2.0 * hand.work * worker.pace };
         let at = now + (cost.min(2.0 * SECOND) * 1.5 + run + 0.3 * SECOND) as Nanos;
         acts.push(Action::Timer { at, token });
     }
@@ -913,10 +775,7 @@
         worker.clear(now, 0.1);
         let run = 2.0 * hand.work * worker.pace + 0.5 * SECOND;
         let token = u64::from(txn) | u64::from(leg) << 32;
-        acts.push(Action::Timer {
-            at: now + run as Nanos,
-            token,
-        });
+        acts.push(Action::Timer { at: now + run as Nanos, token });
     }
 
     /// A timer of one txn: it is still held, or a posting is overdue.
@@ -939,10 +798,7 @@
         } else if worker.alive < posting.at {
             worker.blame(now, 0.5);
         }
-        acts.push(Action::Timer {
-            at: now + age.max(300_000_000),
-            token,
-        });
+        acts.push(Action::Timer { at: now + age.max(300_000_000), token });
         // What has not started is taken elsewhere while that can still be in time.
         let spare = due.saturating_sub(now) as f64 - work;
         let moves = matches!(stage, Out | Again) && effect != OnceOnly && self.may_withdraw;
@@ -995,9 +851,7 @@
     fn read_report(&mut self, now: Nanos, at: usize, report: Report) {
         let value = |name: &str| {
             let place = self.report_fields.iter().position(|field| field == name)?;
-            report.values[..report.count]
-                .get(place)
-                .map(|value| f64::from(*value))
+            report.values[..report.count].get(place).map(|value| f64::from(*value))
         };
         let (free, inflight) = (value("free-slots"), value("inflight"));
         if free.is_none() && inflight.is_none() {
--- a/src/types.rs
+++ b/src/types.rs
@@ -71,69 +71,25 @@
 
 #[derive(Clone, Debug)]
 pub enum Event {
-    List {
-        scope: Scope,
-        entries: Vec<Listed>,
-    },
+    List { scope: Scope, entries: Vec<Listed> },
     Arrived(Txn),
-    Started {
-        txn: TxnId,
-        leg: u8,
-    },
-    Progress {
-        txn: TxnId,
-        leg: u8,
-        share: f32,
-    },
-    StreamBegun {
-        txn: TxnId,
-    },
-    Ended {
-        txn: TxnId,
-        leg: u8,
-        outcome: Outcome,
-        complete: bool,
-        report: Report,
-    },
-    Lapsed {
-        txn: TxnId,
-    },
-    Probed {
-        worker: WorkerId,
-        outcome: Outcome,
-        latency: Nanos,
-        report: Report,
-    },
-    Due {
-        token: u64,
-    },
+    Started { txn: TxnId, leg: u8 },
+    Progress { txn: TxnId, leg: u8, share: f32 },
+    StreamBegun { txn: TxnId },
+    Ended { txn: TxnId, leg: u8, outcome: Outcome, complete: bool, report: Report },
+    Lapsed { txn: TxnId },
+    Probed { worker: WorkerId, outcome: Outcome, latency: Nanos, report: Report },
+    Due { token: u64 },
 }
 
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
-    Post {
-        txn: TxnId,
-        worker: WorkerId,
-        within: Nanos,
-    },
-    Withdraw {
-        txn: TxnId,
-        leg: u8,
-    },
-    Decline {
-        txn: TxnId,
-        come_back: Nanos,
-    },
-    Reverse {
-        txn: TxnId,
-    },
-    Probe {
-        worker: WorkerId,
-    },
+    Post { txn: TxnId, worker: WorkerId, within: Nanos },
+    Withdraw { txn: TxnId, leg: u8 },
+    Decline { txn: TxnId, come_back: Nanos },
+    Reverse { txn: TxnId },
+    Probe { worker: WorkerId },
     Follow,
-    Timer {
-        at: Nanos,
-        token: u64,
-    },
+    Timer { at: Nanos, token: u64 },
     Say(String),
 }
