--- a/crates/wirehost/src/translate.rs
+++ b/crates/wirehost/src/translate.rs
@@ -1,6 +1,6 @@
 //! The wire's words to ours and back. No name of the wire is known outside this file.
 use crate::codec::{Fault, Fields, Reply};
-use rosewall::types::{Action, Event, Listed, Outcome, Report, Scope, Standing, Txn, WorkerId};
+use rosewall::types::{Action, Ended, Event, Listed, Outcome, Report, Scope, Standing, Txn, WorkerId};
 use std::collections::BTreeMap;
 
 /// What a record of a batch asks of the host.
@@ -111,7 +111,7 @@
     if !f.is_empty() {
         let _note = f.u8()?;
     }
-    Ok(Event::Ended { txn, leg, outcome, complete, report: report(f)? })
+    Ok(Event::Ended(Ended { txn, leg, outcome, complete, report: report(f)? }))
 }
 
 fn probed(f: &mut Fields<'_>) -> Result<Event, Fault> {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,4 +1,5 @@
 //! rosewall: decides which worker gets which txn. See `policy` for the decisions and how to call them.
 pub mod pcg;
 pub mod policy;
+mod state;
 pub mod types;
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -8,72 +8,28 @@
 //! How to read it: `TABLE` says what may follow for a txn, `choose` picks its worker, `recut` draws the
 //! lanes by DIFFEQAL, `Worker` holds what is believed of a worker, and `handle` joins them.
 use crate::pcg::Pcg;
-use crate::types::{Action, Event, Listed, Nanos, Outcome, Report, Scope, Standing, Txn, TxnId, WorkerId};
+use crate::state::Effect::{OnceOnly, Referenced, Repeatable};
+use crate::state::Stage::{Again, Answered, Doubted, Held, Out};
+use crate::state::{BINS, BINS_AN_OCTAVE, Bins, FIRST_EDGE, pick};
+use crate::state::{Effect, Gaps, InHand, Input, LEGS, Map, Posting, Scheme, Stage, Step, Worker};
+use crate::types::{
+    Action, Ended, Event, Listed, Nanos, Outcome, Report, Scope, Standing, Txn, TxnId, WorkerId,
+};
 use rustc_hash::FxHashMap;
 use slab::Slab;
 use std::collections::BTreeMap;
-use std::str::FromStr;
 
 #[cfg(test)]
 mod tests;
 
-type Map = BTreeMap<String, String>;
-
 const SECOND: f64 = 1e9;
 
-fn pick<T: FromStr>(map: &Map, name: &str) -> Result<T, String> {
-    let value = map.get(name).ok_or_else(|| format!("setting {name} is missing"))?;
-    value.parse().map_err(|_| format!("setting {name} cannot be read: {value:?}"))
-}
-
 fn fade(value: f64, since: Nanos, now: Nanos, half: f64) -> f64 {
     value * (-(now.saturating_sub(since) as f64) / half).exp2()
 }
 
 // ---- What may follow for a txn -------------------------------------------------------------------
 
-#[derive(Clone, Copy, Debug, PartialEq)]
-enum Effect {
-    Repeatable,
-    Referenced,
-    OnceOnly,
-}
-
-#[derive(Clone, Copy, Debug, PartialEq)]
-enum Stage {
-    /// Nothing out, and nothing that forbids a decline.
-    Held,
-    /// One posting out; all before it are harmless.
-    Out,
-    /// Nothing out; an earlier posting may have run.
-    Doubted,
-    /// One posting out; an earlier one may have run.
-    Again,
-    /// The final answer is given; postings may still be out.
-    Answered,
-}
-
-#[derive(Clone, Copy, Debug, PartialEq)]
-enum Input {
-    Posted,
-    Settled,
-    NotRun,
-    MayHaveRun,
-    GivenUp,
-    Left,
-}
-
-#[derive(Clone, Copy, Debug, PartialEq)]
-enum Step {
-    Nothing,
-    Place,
-    Decline,
-    Reverse,
-}
-
-use Effect::{OnceOnly, Referenced, Repeatable};
-use Stage::{Again, Answered, Doubted, Held, Out};
-
 const ALL: &[Effect] = &[Repeatable, Referenced, OnceOnly];
 
 /// State, input, for which effects, next state, effect. What is not listed changes nothing.
@@ -116,40 +72,8 @@
     }
 }
 
-#[derive(Clone, Copy, Debug)]
-struct Posting {
-    worker: usize,
-    at: Nanos,
-    started: Option<Nanos>,
-    out: bool,
-}
-
-/// Postings kept for one txn; where more are allowed, no more than these are made.
-const LEGS: usize = 6;
-
-#[derive(Debug)]
-struct InHand {
-    txn: Txn,
-    effect: Effect,
-    stage: Stage,
-    /// Hint times slots.
-    work: f64,
-    due: Nanos,
-    legs: [Posting; LEGS],
-    posted: usize,
-    /// The first posting that may have run: its worker and when it was sent.
-    doubt: Option<(usize, Nanos)>,
-}
-
 // ---- The mechanism: lanes by DIFFEQAL ------------------------------------------------------------
 
-/// Four bins an octave from 1 ms up reach 64 s; a bin is then narrower than a hint is exact.
-const BINS: usize = 64;
-const BINS_AN_OCTAVE: f64 = 4.0;
-const FIRST_EDGE: f64 = 1e6;
-
-type Bins = [f64; BINS];
-
 fn bin_of(work: f64) -> usize {
     ((work / FIRST_EDGE).max(1.0).log2() * BINS_AN_OCTAVE) as usize
 }
@@ -206,19 +130,6 @@
     cut(bins, &targets)
 }
 
-/// The gaps between arrivals of one priority class, for their lag-one autocorrelation.
-#[derive(Default)]
-struct Gaps {
-    from: Nanos,
-    last: Option<Nanos>,
-    before: f64,
-    count: f64,
-    sum: f64,
-    squares: f64,
-    products: f64,
-    estimate: f64,
-}
-
 impl Gaps {
     fn arrival(&mut self, now: Nanos) {
         if let Some(last) = self.last {
@@ -253,84 +164,8 @@
     if present(high) && high > low { (r, 0.0, 0.2) } else { (r, 0.4, 0.0) }
 }
 
-struct Scheme {
-    effect: Effect,
-    group: String,
-    window: Nanos,
-    sla: f64,
-    stretch: f64,
-    value: f64,
-    kind: i64,
-    high: bool,
-    bins: Bins,
-    seen: f64,
-    lanes: Vec<usize>,
-    cuts: Vec<f64>,
-}
-
-impl Scheme {
-    fn read(map: &Map, at: usize) -> Result<Self, String> {
-        let name = |part: &str| format!("scheme.{at}.{part}");
-        Ok(Scheme {
-            effect: match pick::<String>(map, &name("effect"))?.as_str() {
-                "repeatable" => Repeatable,
-                "referenced" => Referenced,
-                "once-only" => OnceOnly,
-                other => return Err(format!("setting {} cannot be read: {other:?}", name("effect"))),
-            },
-            group: pick(map, &name("group"))?,
-            window: pick(map, &name("window"))?,
-            sla: pick(map, &name("sla"))?,
-            stretch: if map.contains_key(&name("stretch")) { pick(map, &name("stretch"))? } else { 0.0 },
-            value: pick(map, &name("value"))?,
-            kind: if map.contains_key(&name("kind")) { pick(map, &name("kind"))? } else { -1 },
-            high: false,
-            bins: [0.0; BINS],
-            seen: 0.0,
-            lanes: Vec::new(),
-            cuts: Vec::new(),
-        })
-    }
-
-    /// The mean work of late, for a txn without a valid hint.
-    fn mean(&self) -> f64 {
-        if self.seen > 0.0 { self.bins.iter().sum::<f64>() / self.seen } else { 0.1 * SECOND }
-    }
-}
-
 // ---- What is believed of a worker ----------------------------------------------------------------
 
-struct Worker {
-    id: WorkerId,
-    standing: Standing,
-    zone: u16,
-    kind: u8,
-    group: u16,
-    size: f64,
-    started: Nanos,
-    /// Most jobs known to have run on it at once.
-    seats: f64,
-    /// Running time for one unit of hinted work.
-    pace: f64,
-    distrust: f64,
-    distrust_at: Nanos,
-    /// When it last gave a sign of life.
-    alive: Nanos,
-    /// How long the last posting waited for its start.
-    lag: f64,
-    lag_at: Nanos,
-    /// Slots that others hold by its last report.
-    others: f64,
-    others_at: Nanos,
-    /// This dispatcher's part of what may still be sent while it is cold.
-    budget: f64,
-    budget_at: Nanos,
-    /// This dispatcher's postings out, those not started among them, and the running time they still need.
-    out: f64,
-    waiting: f64,
-    ahead: f64,
-}
-
 impl Worker {
     /// Distrust halves in 5 s: several times the time between postings to one worker at low traffic.
     fn distrust(&self, now: Nanos) -> f64 {
@@ -351,12 +186,8 @@
         // Reports and start delays tell of others' work, which changes as fast as jobs end: about 1 s.
         let others = fade(self.others, self.others_at, now, SECOND);
         let lag = fade(self.lag, self.lag_at, now, 0.5 * SECOND);
-        let own = if self.out + others + 1.0 <= self.seats {
-            0.0
-        } else {
-            (self.ahead + others * mean) / self.seats
-        };
-        own.max(lag)
+        let full = self.out + others + 1.0 > self.seats;
+        lag.max(if full { (self.ahead + others * mean) / self.seats } else { 0.0 })
     }
 }
 
@@ -371,15 +202,8 @@
     held: FxHashMap<TxnId, usize>,
     gaps: [Gaps; 2],
     report_fields: Vec<String>,
-    dispatchers: f64,
-    most_postings: usize,
-    come_back_most: Nanos,
-    may_withdraw: bool,
-    tells_start: bool,
-    cold_from: f64,
-    cold_time: f64,
-    fall_multiple: f64,
-    fall_window: f64,
+    /// The settings that are numbers, or yes (1) and no (0).
+    figures: BTreeMap<&'static str, f64>,
     list_asked: bool,
     following: bool,
     ask_at: Nanos,
@@ -388,6 +212,10 @@
     cut_at: Nanos,
 }
 
+/// The settings without which nothing can be decided; a missing one ends the start.
+const FIGURES: &str = "dispatchers posting.most come_back.allowed come_back.most withdraw.allowed tells_start \
+    cold.from cold.time fall.multiple fall.window";
+
 /// The timer of the beat; all others carry a txn's id and leg.
 const BEAT: u64 = u64::MAX;
 const BEAT_EVERY: Nanos = 1_000_000_000;
@@ -400,7 +228,11 @@
         values.sort_by(f64::total_cmp);
         let median = if count == 0 { 0.0 } else { (values[(count - 1) / 2] + values[count / 2]) / 2.0 };
         schemes.iter_mut().for_each(|scheme| scheme.high = scheme.value > median);
-        let come_back: bool = pick(map, "come_back.allowed")?;
+        let mut figures = BTreeMap::new();
+        for name in FIGURES.split_whitespace() {
+            let number = || pick::<f64>(map, name);
+            figures.insert(name, pick::<bool>(map, name).map(f64::from).or_else(|_| number())?);
+        }
         Ok(Dispatcher {
             chance: Pcg::new(seed),
             schemes,
@@ -410,15 +242,7 @@
             held: FxHashMap::default(),
             gaps: [Gaps { from: now, ..Gaps::default() }, Gaps { from: now, ..Gaps::default() }],
             report_fields: pick::<String>(map, "report.fields")?.split(',').map(String::from).collect(),
-            dispatchers: pick::<f64>(map, "dispatchers")?.max(1.0),
-            most_postings: pick::<usize>(map, "posting.most")?.min(LEGS),
-            come_back_most: if come_back { pick(map, "come_back.most")? } else { 0 },
-            may_withdraw: pick(map, "withdraw.allowed")?,
-            tells_start: pick(map, "tells_start")?,
-            cold_from: pick(map, "cold.from")?,
-            cold_time: pick(map, "cold.time")?,
-            fall_multiple: pick(map, "fall.multiple")?,
-            fall_window: pick(map, "fall.window")?,
+            figures,
             list_asked: pick::<String>(map, "list.mode")? == "asked",
             following: false,
             ask_at: 0,
@@ -443,9 +267,7 @@
                 }
             }
             Event::StreamBegun { txn } | Event::Lapsed { txn } => self.input(now, txn, Input::Left, acts),
-            Event::Ended { txn, leg, outcome, complete, report } => {
-                self.ended(now, txn, leg, outcome, complete, report, acts);
-            }
+            Event::Ended(end) => self.ended(now, end, acts),
             Event::Probed { worker, outcome, report, .. } => {
                 if let Some(&at) = self.known.get(&worker)
                     && outcome == Outcome::Settled
@@ -464,6 +286,14 @@
         }
     }
 
+    fn says(&self, name: &str) -> f64 {
+        self.figures.get(name).copied().unwrap_or(0.0)
+    }
+
+    fn most_postings(&self) -> usize {
+        (self.says("posting.most") as usize).min(LEGS)
+    }
+
     // -- Following the list --
 
     fn follow(&mut self, now: Nanos, acts: &mut Vec<Action>) {
@@ -494,29 +324,8 @@
         for entry in entries {
             let at = *self.known.entry(entry.worker).or_insert(self.workers.len());
             if at == self.workers.len() {
-                self.workers.push(Worker {
-                    id: entry.worker,
-                    standing: entry.standing,
-                    zone: entry.zone,
-                    kind: entry.kind,
-                    group: entry.group,
-                    size: 0.0,
-                    started: entry.started,
-                    seats: 1.0,
-                    pace: 1.0,
-                    distrust: 0.0,
-                    distrust_at: now,
-                    alive: now,
-                    lag: 0.0,
-                    lag_at: now,
-                    others: 0.0,
-                    others_at: now,
-                    budget: 0.0,
-                    budget_at: now,
-                    out: 0.0,
-                    waiting: 0.0,
-                    ahead: 0.0,
-                });
+                let (id, started) = (entry.worker, entry.started);
+                self.workers.push(Worker { id, started, seats: 1.0, pace: 1.0, ..Worker::default() });
             }
             let worker = &mut self.workers[at];
             if entry.started != worker.started {
@@ -537,7 +346,8 @@
             return 1.0;
         }
         let age = now.saturating_sub(worker.started) as f64;
-        (self.cold_from + (1.0 - self.cold_from) * age / self.cold_time.max(1.0)).min(1.0)
+        let from = self.says("cold.from");
+        (from + (1.0 - from) * age / self.says("cold.time").max(1.0)).min(1.0)
     }
 
     /// Refills and returns the cold budget of a worker: none while it is warm.
@@ -553,8 +363,8 @@
         let worker = &self.workers[at];
         let capacity = unit.min(4.0) * worker.size * warmth;
         // Half as a store and half as a flow keep any window under the whole; 0.7 for what hints miss.
-        let rate = 0.7 * self.fall_multiple * capacity / self.dispatchers / 2.0;
-        let store = rate * self.fall_window;
+        let rate = 0.7 * self.says("fall.multiple") * capacity / self.says("dispatchers").max(1.0) / 2.0;
+        let store = rate * self.says("fall.window");
         let gained = rate * (now - worker.budget_at) as f64;
         let worker = &mut self.workers[at];
         worker.budget = (worker.budget + gained).min(store);
@@ -658,9 +468,7 @@
         for step in 0..2 * lanes.len() {
             let far = step.div_ceil(2);
             let lane = if step % 2 == 1 { mine.checked_add(far) } else { mine.checked_sub(far) };
-            let Some(&at) = lane.and_then(|lane| lanes.get(lane)) else {
-                continue;
-            };
+            let Some(&at) = lane.and_then(|lane| lanes.get(lane)) else { continue };
             if let Some((first, since)) = doubt {
                 let (a, b) = (&self.workers[first], &self.workers[at]);
                 let drops = match group.as_str() {
@@ -715,7 +523,7 @@
     fn place(&mut self, now: Nanos, key: usize, acts: &mut Vec<Action>) {
         let hand = &self.txns[key];
         let (id, due, work, expiry) = (hand.txn.id, hand.due, hand.work, hand.txn.expiry);
-        if hand.posted >= self.most_postings || now >= expiry {
+        if hand.posted >= self.most_postings() || now >= expiry {
             return self.input(now, id, Input::GivenUp, acts);
         }
         let room = due.saturating_sub(now) as f64 - work;
@@ -741,6 +549,7 @@
     }
 
     fn post(&mut self, now: Nanos, key: usize, at: usize, cost: f64, acts: &mut Vec<Action>) {
+        let tells_start = self.says("tells_start") > 0.0;
         let hand = &mut self.txns[key];
         let worker = &mut self.workers[at];
         worker.budget -= hand.work;
@@ -750,7 +559,7 @@
         hand.stage = next(hand.stage, Input::Posted, hand.effect).0;
         acts.push(Action::Post { txn: hand.txn.id, worker: worker.id, within: 0 });
         // Overdue: a start later than expected by 300 ms, or without start notes by twice the run.
-        let run = if self.tells_start { 0.0 } else { 2.0 * hand.work * worker.pace };
+        let run = if tells_start { 0.0 } else { 2.0 * hand.work * worker.pace };
         let at = now + (cost.min(2.0 * SECOND) * 1.5 + run + 0.3 * SECOND) as Nanos;
         acts.push(Action::Timer { at, token });
     }
@@ -763,9 +572,7 @@
     }
 
     fn started(&mut self, now: Nanos, txn: TxnId, leg: u8, acts: &mut Vec<Action>) {
-        let Some((key, posting)) = self.posting(txn, leg) else {
-            return;
-        };
+        let Some((key, posting)) = self.posting(txn, leg) else { return };
         self.txns[key].legs[usize::from(leg)].started = Some(now);
         self.tally(now);
         let hand = &self.txns[key];
@@ -786,9 +593,7 @@
         if matches!(hand.stage, Held | Doubted) && leg == hand.posted {
             return self.place(now, key, acts);
         }
-        let Some((_, posting)) = self.posting(txn, leg as u8) else {
-            return;
-        };
+        let Some((_, posting)) = self.posting(txn, leg as u8) else { return };
         let (stage, effect, due, work) = (hand.stage, hand.effect, hand.due, hand.work);
         let worker = &mut self.workers[posting.worker];
         // A worker that has shown life since is only busy; one that has not may be hung.
@@ -801,26 +606,15 @@
         acts.push(Action::Timer { at: now + age.max(300_000_000), token });
         // What has not started is taken elsewhere while that can still be in time.
         let spare = due.saturating_sub(now) as f64 - work;
-        let moves = matches!(stage, Out | Again) && effect != OnceOnly && self.may_withdraw;
-        if moves && posting.started.is_none() && spare > 0.0 && hand.posted < self.most_postings {
+        let moves = matches!(stage, Out | Again) && effect != OnceOnly && self.says("withdraw.allowed") > 0.0;
+        if moves && posting.started.is_none() && spare > 0.0 && hand.posted < self.most_postings() {
             acts.push(Action::Withdraw { txn, leg: leg as u8 });
         }
     }
 
-    #[allow(clippy::too_many_arguments)]
-    fn ended(
-        &mut self,
-        now: Nanos,
-        txn: TxnId,
-        leg: u8,
-        outcome: Outcome,
-        complete: bool,
-        report: Report,
-        acts: &mut Vec<Action>,
-    ) {
-        let Some((key, posting)) = self.posting(txn, leg) else {
-            return;
-        };
+    fn ended(&mut self, now: Nanos, end: Ended, acts: &mut Vec<Action>) {
+        let Ended { txn, leg, outcome, complete, report } = end;
+        let Some((key, posting)) = self.posting(txn, leg) else { return };
         self.txns[key].legs[usize::from(leg)].out = false;
         self.read_report(now, posting.worker, report);
         let work = self.txns[key].work;
@@ -881,7 +675,8 @@
             Step::Place => return self.place(now, key, acts),
             Step::Decline => {
                 // Come back when a usual job has had time to end.
-                let come_back = self.come_back_most.min(500_000_000);
+                let most = self.says("come_back.allowed") * self.says("come_back.most");
+                let come_back = most.min(0.5 * SECOND) as Nanos;
                 acts.push(Action::Decline { txn, come_back });
             }
             Step::Reverse => acts.push(Action::Reverse { txn }),
--- a/src/types.rs
+++ b/src/types.rs
@@ -5,16 +5,17 @@
 pub type TxnId = u32;
 
 /// A worker's address, as it was given; its order is the order of the lanes.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct WorkerId {
     pub addr: [u8; 4],
     pub port: u16,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Standing {
     Ready,
     Draining,
+    #[default]
     Gone,
 }
 
@@ -69,6 +70,16 @@
     pub expiry: Nanos,
 }
 
+/// How a posting ended; `complete` when the txn has its final answer with it or had it before.
+#[derive(Clone, Copy, Debug)]
+pub struct Ended {
+    pub txn: TxnId,
+    pub leg: u8,
+    pub outcome: Outcome,
+    pub complete: bool,
+    pub report: Report,
+}
+
 #[derive(Clone, Debug)]
 pub enum Event {
     List { scope: Scope, entries: Vec<Listed> },
@@ -76,7 +87,7 @@
     Started { txn: TxnId, leg: u8 },
     Progress { txn: TxnId, leg: u8, share: f32 },
     StreamBegun { txn: TxnId },
-    Ended { txn: TxnId, leg: u8, outcome: Outcome, complete: bool, report: Report },
+    Ended(Ended),
     Lapsed { txn: TxnId },
     Probed { worker: WorkerId, outcome: Outcome, latency: Nanos, report: Report },
     Due { token: u64 },
