Let unseen start delays drift to the fleet's mean

Cause: with many dispatchers each sees too little of one worker, forgets its queue within a second, and all go on sending into a jam.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -182,10 +182,12 @@
     }
 
     /// How long a new job would wait for its start, by what this dispatcher knows.
-    fn wait(&self, now: Nanos, mean: f64) -> f64 {
+    fn wait(&self, now: Nanos, mean: f64, fleet: f64) -> f64 {
         // Reports and start delays tell of others' work, which changes as fast as jobs end: about 1 s.
         let others = fade(self.others, self.others_at, now, SECOND);
-        let lag = fade(self.lag, self.lag_at, now, 0.5 * SECOND);
+        // What is not seen anew drifts to what the whole fleet shows. Guards against a fleet jammed by
+        // many dispatchers, in which each sees too little of one worker to notice its queue.
+        let lag = fleet + fade(self.lag - fleet, self.lag_at, now, SECOND);
         let full = self.out + others + 1.0 > self.seats;
         lag.max(if full { (self.ahead + others * mean) / self.seats } else { 0.0 })
     }
@@ -210,6 +212,8 @@
     ask_failures: u32,
     beating: bool,
     cut_at: Nanos,
+    /// The start delay of late, over all workers.
+    lag: f64,
 }
 
 /// The settings without which nothing can be decided; a missing one ends the start.
@@ -249,6 +253,7 @@
             ask_failures: 0,
             beating: false,
             cut_at: 0,
+            lag: 0.0,
         })
     }
 
@@ -421,8 +426,10 @@
         (self.workers[at].distrust(now) - sum / f64::max(count, 1.0)).clamp(0.0, 0.95)
     }
 
-    /// Counts this dispatcher's postings out and the running time they still need.
-    fn tally(&mut self, now: Nanos) {
+    /// Counts this dispatcher's postings out and the running time they still need; returns the start
+    /// delay of the fleet: of late, or of what is out if that is longer.
+    fn tally(&mut self, now: Nanos) -> f64 {
+        let (mut delays, mut count) = (0.0, 0.0);
         for worker in &mut self.workers {
             (worker.out, worker.waiting, worker.ahead) = (0.0, 0.0, 0.0);
         }
@@ -431,6 +438,8 @@
                 let worker = &mut self.workers[posting.worker];
                 let expected = hand.work * worker.pace;
                 worker.out += 1.0;
+                delays += (posting.started.unwrap_or(now) - posting.at) as f64;
+                count += 1.0;
                 worker.ahead += match posting.started {
                     // A job past its hint has, as such sizes go, about a third of its age still to run.
                     Some(from) => (expected - (now - from) as f64).max(0.3 * (now - from) as f64),
@@ -439,18 +448,19 @@
                 if posting.started.is_none() {
                     worker.waiting += 1.0;
                     let age = (now - posting.at) as f64;
-                    if age > fade(worker.lag, worker.lag_at, now, 0.5 * SECOND) {
+                    if age > fade(worker.lag, worker.lag_at, now, SECOND) {
                         (worker.lag, worker.lag_at) = (age, now);
                     }
                 }
             }
         }
+        self.lag.max(delays / f64::max(count, 1.0))
     }
 
     /// The worker for a txn, and how long it would wait there: its lane's, or the nearest id neighbour
     /// that can start it soon enough; failing that, the one with the least to wait.
     fn choose(&mut self, now: Nanos, key: usize) -> Option<(usize, f64)> {
-        self.tally(now);
+        let fleet = self.tally(now);
         let hand = &self.txns[key];
         let (work, due, doubt) = (hand.work, hand.due, hand.doubt);
         let last = hand.posted.checked_sub(1).map(|leg| hand.legs[leg].worker);
@@ -483,7 +493,7 @@
             if self.budget(at, now).is_some_and(|budget| budget < work) {
                 continue;
             }
-            let mut cost = self.workers[at].wait(now, mean) + self.doubt(at, now) * room.max(SECOND);
+            let mut cost = self.workers[at].wait(now, mean, fleet) + self.doubt(at, now) * room.max(SECOND);
             if last == Some(at) && lanes.len() > 1 {
                 cost += SECOND;
             }
@@ -579,6 +589,8 @@
         let worker = &mut self.workers[posting.worker];
         worker.seats = worker.seats.max(worker.out - worker.waiting);
         (worker.lag, worker.lag_at) = ((now - posting.at) as f64, now);
+        // The fleet's delay is the mean of about the last ten starts.
+        self.lag += 0.1 * (worker.lag - self.lag);
         worker.clear(now, 0.1);
         let run = 2.0 * hand.work * worker.pace + 0.5 * SECOND;
         let token = u64::from(txn) | u64::from(leg) << 32;
