--- a/src/policy.rs
+++ b/src/policy.rs
@@ -188,8 +188,17 @@
         // What is not seen anew drifts to what the whole fleet shows. Guards against a fleet jammed by
         // many dispatchers, in which each sees too little of one worker to notice its queue.
         let lag = fleet + fade(self.lag - fleet, self.lag_at, now, SECOND);
-        let full = self.out + others + 1.0 > self.seats;
-        lag.max(if full { (self.ahead + others * mean) / self.seats } else { 0.0 })
+        let theirs = if others > 0.0 && self.out + others + 1.0 > self.seats {
+            others * mean / self.seats
+        } else {
+            0.0
+        };
+        self.own_wait() + lag.max(theirs)
+    }
+
+    /// The part of that wait which this dispatcher's own postings cause.
+    fn own_wait(&self) -> f64 {
+        if self.out + 1.0 > self.seats { self.ahead / self.seats } else { 0.0 }
     }
 }
 
@@ -438,7 +447,9 @@
                 let worker = &mut self.workers[posting.worker];
                 let expected = hand.work * worker.pace;
                 worker.out += 1.0;
-                delays += (posting.started.unwrap_or(now) - posting.at) as f64;
+                let delay = (posting.started.unwrap_or(now) - posting.at) as f64;
+                let delay = (delay - posting.expected).max(0.0);
+                delays += delay;
                 count += 1.0;
                 worker.ahead += match posting.started {
                     // A job past its hint has, as such sizes go, about a third of its age still to run.
@@ -447,9 +458,8 @@
                 };
                 if posting.started.is_none() {
                     worker.waiting += 1.0;
-                    let age = (now - posting.at) as f64;
-                    if age > fade(worker.lag, worker.lag_at, now, SECOND) {
-                        (worker.lag, worker.lag_at) = (age, now);
+                    if delay > fade(worker.lag, worker.lag_at, now, SECOND) {
+                        (worker.lag, worker.lag_at) = (delay, now);
                     }
                 }
             }
@@ -522,7 +532,7 @@
         scheme.seen += 1.0;
         self.gaps[usize::from(scheme.high)].arrival(now);
         let due = (now + (scheme.sla + scheme.stretch * hint) as Nanos).min(txn.expiry);
-        let none = Posting { worker: 0, at: 0, started: None, out: false };
+        let none = Posting { worker: 0, at: 0, expected: 0.0, started: None, out: false };
         let effect = scheme.effect;
         let hand = InHand { txn, effect, stage: Held, work, due, legs: [none; LEGS], posted: 0, doubt: None };
         let key = self.txns.insert(hand);
@@ -563,7 +573,8 @@
         let hand = &mut self.txns[key];
         let worker = &mut self.workers[at];
         worker.budget -= hand.work;
-        hand.legs[hand.posted] = Posting { worker: at, at: now, started: None, out: true };
+        hand.legs[hand.posted] =
+            Posting { worker: at, at: now, expected: worker.own_wait(), started: None, out: true };
         let token = u64::from(hand.txn.id) | (hand.posted as u64) << 32;
         hand.posted += 1;
         hand.stage = next(hand.stage, Input::Posted, hand.effect).0;
@@ -588,7 +599,7 @@
         let hand = &self.txns[key];
         let worker = &mut self.workers[posting.worker];
         worker.seats = worker.seats.max(worker.out - worker.waiting);
-        (worker.lag, worker.lag_at) = ((now - posting.at) as f64, now);
+        (worker.lag, worker.lag_at) = (((now - posting.at) as f64 - posting.expected).max(0.0), now);
         // The fleet's delay is the mean of about the last ten starts.
         self.lag += 0.1 * (worker.lag - self.lag);
         worker.clear(now, 0.1);
--- a/src/state.rs
+++ b/src/state.rs
@@ -54,6 +54,8 @@
 pub struct Posting {
     pub worker: usize,
     pub at: Nanos,
+    /// The wait that this dispatcher's earlier postings were to cause.
+    pub expected: f64,
     pub started: Option<Nanos>,
     pub out: bool,
 }
@@ -92,7 +94,7 @@
     pub distrust_at: Nanos,
     /// When it last gave a sign of life.
     pub alive: Nanos,
-    /// How long the last posting waited for its start.
+    /// How much longer the last posting waited for its start than this dispatcher's own work explains.
     pub lag: f64,
     pub lag_at: Nanos,
     /// Slots that others hold by its last report.
