--- a/src/policy.rs
+++ b/src/policy.rs
@@ -464,7 +464,8 @@
                 }
             }
         }
-        self.lag.max(delays / f64::max(count, 1.0))
+        // A lone dispatcher knows all that waits; of several, each sees its part.
+        (1.0 - 1.0 / self.says("dispatchers").max(1.0)) * self.lag.max(delays / f64::max(count, 1.0))
     }
 
     /// The worker for a txn, and how long it would wait there: its lane's, or the nearest id neighbour
@@ -675,6 +676,8 @@
             return;
         }
         self.tally(now);
+        // Reports are late: a lone dispatcher would take its own newest jobs for others'.
+        let unseen = 1.0 - 1.0 / self.says("dispatchers").max(1.0);
         let worker = &mut self.workers[at];
         let running = worker.out - worker.waiting;
         if let Some(free) = free {
@@ -684,6 +687,7 @@
         if let Some(inflight) = inflight {
             worker.others = (inflight - worker.out).max(0.0);
         }
+        worker.others *= unseen;
         worker.others_at = now;
     }
 
