Pass a txn over once own postings fill this dispatcher's part of a worker

Cause: with several dispatchers on the same lanes, filling all seats of a worker from each queues behind the others.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -198,7 +198,7 @@
 
     /// The part of that wait which this dispatcher's own postings cause.
     fn own_wait(&self) -> f64 {
-        if self.out + 1.0 > self.seats { self.ahead / self.seats } else { 0.0 }
+        if self.out + 1.0 > self.part { self.ahead / self.seats } else { 0.0 }
     }
 }
 
@@ -439,7 +439,9 @@
     /// delay of the fleet: of late, or of what is out if that is longer.
     fn tally(&mut self, now: Nanos) -> f64 {
         let (mut delays, mut count) = (0.0, 0.0);
+        let dispatchers = self.says("dispatchers").max(1.0);
         for worker in &mut self.workers {
+            worker.part = (worker.seats / dispatchers).max(1.0);
             (worker.out, worker.waiting, worker.ahead) = (0.0, 0.0, 0.0);
         }
         for (_, hand) in &self.txns {
@@ -465,7 +467,7 @@
             }
         }
         // A lone dispatcher knows all that waits; of several, each sees its part.
-        (1.0 - 1.0 / self.says("dispatchers").max(1.0)) * self.lag.max(delays / f64::max(count, 1.0))
+        (1.0 - 1.0 / dispatchers) * self.lag.max(delays / f64::max(count, 1.0))
     }
 
     /// The worker for a txn, and how long it would wait there: its lane's, or the nearest id neighbour
--- a/src/state.rs
+++ b/src/state.rs
@@ -107,6 +107,8 @@
     pub out: f64,
     pub waiting: f64,
     pub ahead: f64,
+    /// This dispatcher's part of its seats, at least one.
+    pub part: f64,
 }
 
 /// Four bins an octave from 1 ms up reach 64 s; a bin is then narrower than a hint is exact.
