--- a/src/policy.rs
+++ b/src/policy.rs
@@ -223,6 +223,7 @@
     cut_at: Nanos,
     /// The start delay of late, over all workers.
     lag: f64,
+    lag_at: Nanos,
 }
 
 /// The settings without which nothing can be decided; a missing one ends the start.
@@ -263,6 +264,7 @@
             beating: false,
             cut_at: 0,
             lag: 0.0,
+            lag_at: now,
         })
     }
 
@@ -467,12 +469,13 @@
             }
         }
         // A lone dispatcher knows all that waits; of several, each sees its part.
-        (1.0 - 1.0 / dispatchers) * self.lag.max(delays / f64::max(count, 1.0))
+        (1.0 - 1.0 / dispatchers)
+            * fade(self.lag, self.lag_at, now, SECOND).max(delays / f64::max(count, 1.0))
     }
 
     /// The worker for a txn, and how long it would wait there: its lane's, or the nearest id neighbour
     /// that can start it soon enough; failing that, the one with the least to wait.
-    fn choose(&mut self, now: Nanos, key: usize) -> Option<(usize, f64)> {
+    fn choose(&mut self, now: Nanos, key: usize) -> Option<(usize, f64, f64)> {
         let fleet = self.tally(now);
         let hand = &self.txns[key];
         let (work, due, doubt) = (hand.work, hand.due, hand.doubt);
@@ -486,8 +489,7 @@
         } else {
             scheme.cuts.partition_point(|cut| *cut <= work)
         };
-        let room = due.saturating_sub(now) as f64 - work;
-        let mut best: Option<(usize, f64)> = None;
+        let mut best: Option<(usize, f64, f64)> = None;
         for step in 0..2 * lanes.len() {
             let far = step.div_ceil(2);
             let lane = if step % 2 == 1 { mine.checked_add(far) } else { mine.checked_sub(far) };
@@ -506,16 +508,18 @@
             if self.budget(at, now).is_some_and(|budget| budget < work) {
                 continue;
             }
-            let mut cost = self.workers[at].wait(now, mean, fleet) + self.doubt(at, now) * room.max(SECOND);
+            let worker = &self.workers[at];
+            let room = (due.saturating_sub(now) as f64 - work * worker.pace).max(1.0);
+            let mut cost = worker.wait(now, mean, fleet) + self.doubt(at, now) * room.max(SECOND);
             if last == Some(at) && lanes.len() > 1 {
                 cost += SECOND;
             }
             // A quarter of the room before the SLA time may go in waiting before a neighbour is asked.
             if cost <= 0.25 * room {
-                return Some((at, cost));
+                return Some((at, cost, cost / room));
             }
-            if best.is_none_or(|(_, least)| cost < least) {
-                best = Some((at, cost));
+            if best.is_none_or(|(_, _, least)| cost / room < least) {
+                best = Some((at, cost, cost / room));
             }
         }
         best
@@ -551,7 +555,7 @@
         }
         let room = due.saturating_sub(now) as f64 - work;
         match self.choose(now, key) {
-            Some((at, cost)) if cost <= room.max(0.0) || self.kept(key, room, cost) => {
+            Some((at, cost, strain)) if self.kept(key, strain) => {
                 self.post(now, key, at, cost, acts);
             }
             // Cold workers may soon take more: ask again shortly, as long as it can still be in time.
@@ -563,12 +567,14 @@
         }
     }
 
-    /// Whether a txn that would come late is sent all the same: by chance, the dearer more often.
-    fn kept(&mut self, key: usize, room: f64, cost: f64) -> bool {
+    /// Overload: from half its room gone in waiting a txn is turned away by chance, the cheaper ones more
+    /// often, and none is sent that would come late. Guards against a jam that keeps itself up: where
+    /// late txns are still sent, queues settle at a length at which all are late.
+    fn kept(&mut self, key: usize, strain: f64) -> bool {
         let value = self.schemes[usize::from(self.txns[key].txn.scheme)].value;
         let most = self.schemes.iter().map(|scheme| scheme.value).fold(0.0, f64::max);
-        let fits = (room.max(0.0) / cost).min(1.0);
-        self.chance.unit() < fits.powf(most / value.max(1e-9))
+        let fits = (2.0 - 2.0 * strain).clamp(0.0, 1.0);
+        fits >= 1.0 || self.chance.unit() < fits.powf(most / value.max(1e-9))
     }
 
     fn post(&mut self, now: Nanos, key: usize, at: usize, cost: f64, acts: &mut Vec<Action>) {
@@ -605,6 +611,7 @@
         (worker.lag, worker.lag_at) = (((now - posting.at) as f64 - posting.expected).max(0.0), now);
         // The fleet's delay is the mean of about the last ten starts.
         self.lag += 0.1 * (worker.lag - self.lag);
+        self.lag_at = now;
         worker.clear(now, 0.1);
         let run = 2.0 * hand.work * worker.pace + 0.5 * SECOND;
         let token = u64::from(txn) | u64::from(leg) << 32;
