--- a/src/policy.rs
+++ b/src/policy.rs
@@ -188,17 +188,15 @@
         // What is not seen anew drifts to what the whole fleet shows. Guards against a fleet jammed by
         // many dispatchers, in which each sees too little of one worker to notice its queue.
         let lag = fleet + fade(self.lag - fleet, self.lag_at, now, SECOND);
-        let theirs = if others > 0.0 && self.out + others + 1.0 > self.seats {
-            others * mean / self.seats
-        } else {
-            0.0
-        };
-        self.own_wait() + lag.max(theirs)
+        self.queue(others, mean) + lag
     }
 
-    /// The part of that wait which this dispatcher's own postings cause.
-    fn own_wait(&self) -> f64 {
-        if self.out + 1.0 > self.part { self.ahead / self.seats } else { 0.0 }
+    /// The wait until a seat is free, by this dispatcher's postings and so many jobs of others: what is
+    /// in the worker ends one by one, as fast as its seats work together.
+    fn queue(&self, others: f64, mean: f64) -> f64 {
+        let count = self.out + others;
+        let enders = (count + 1.0 - self.seats).max(0.0);
+        if enders > 0.0 { enders * (self.ahead + others * mean) / count / self.seats } else { 0.0 }
     }
 }
 
@@ -341,7 +339,7 @@
             let at = *self.known.entry(entry.worker).or_insert(self.workers.len());
             if at == self.workers.len() {
                 let (id, started) = (entry.worker, entry.started);
-                self.workers.push(Worker { id, started, seats: 1.0, pace: 1.0, ..Worker::default() });
+                self.workers.push(Worker { id, started, seats: 2.0, pace: 1.0, ..Worker::default() });
             }
             let worker = &mut self.workers[at];
             if entry.started != worker.started {
@@ -478,7 +476,7 @@
     fn choose(&mut self, now: Nanos, key: usize) -> Option<(usize, f64, f64)> {
         let fleet = self.tally(now);
         let hand = &self.txns[key];
-        let (work, due, doubt) = (hand.work, hand.due, hand.doubt);
+        let (work, due, doubt, effect) = (hand.work, hand.due, hand.doubt, hand.effect);
         let last = hand.posted.checked_sub(1).map(|leg| hand.legs[leg].worker);
         let scheme = &self.schemes[usize::from(hand.txn.scheme)];
         let (lanes, mean) = (scheme.lanes.clone(), scheme.mean());
@@ -489,12 +487,12 @@
         } else {
             scheme.cuts.partition_point(|cut| *cut <= work)
         };
-        let mut best: Option<(usize, f64, f64)> = None;
+        let (mut least, mut best) = (f64::INFINITY, None);
         for step in 0..2 * lanes.len() {
             let far = step.div_ceil(2);
             let lane = if step % 2 == 1 { mine.checked_add(far) } else { mine.checked_sub(far) };
             let Some(&at) = lane.and_then(|lane| lanes.get(lane)) else { continue };
-            if let Some((first, since)) = doubt {
+            if let Some((first, since)) = doubt.filter(|_| effect == Referenced) {
                 let (a, b) = (&self.workers[first], &self.workers[at]);
                 let drops = match group.as_str() {
                     "all" => true,
@@ -510,16 +508,17 @@
             }
             let worker = &self.workers[at];
             let room = (due.saturating_sub(now) as f64 - work * worker.pace).max(1.0);
-            let mut cost = worker.wait(now, mean, fleet) + self.doubt(at, now) * room.max(SECOND);
-            if last == Some(at) && lanes.len() > 1 {
-                cost += SECOND;
-            }
-            // A quarter of the room before the SLA time may go in waiting before a neighbour is asked.
-            if cost <= 0.25 * room {
-                return Some((at, cost, cost / room));
+            let wait = worker.wait(now, mean, fleet);
+            let doubt = self.doubt(at, now) + if last == Some(at) { 0.5 } else { 0.0 };
+            let strain = wait / room;
+            // Taken when there is a seat for it in this dispatcher's part, the worker is not distrusted,
+            // and no more than a quarter of the room before the SLA time goes in waiting.
+            if worker.out < worker.part && doubt < 0.25 && strain < 0.25 {
+                return Some((at, wait, strain));
             }
-            if best.is_none_or(|(_, _, least)| cost / room < least) {
-                best = Some((at, cost, cost / room));
+            let cost = strain + worker.ahead / worker.seats / room + doubt;
+            if cost < least {
+                (least, best) = (cost, Some((at, wait, strain)));
             }
         }
         best
@@ -555,7 +554,7 @@
         }
         let room = due.saturating_sub(now) as f64 - work;
         match self.choose(now, key) {
-            Some((at, cost, strain)) if self.kept(key, strain) => {
+            Some((at, cost, strain)) if self.txns[key].posted > 0 || self.kept(key, strain) => {
                 self.post(now, key, at, cost, acts);
             }
             // Cold workers may soon take more: ask again shortly, as long as it can still be in time.
@@ -583,7 +582,7 @@
         let worker = &mut self.workers[at];
         worker.budget -= hand.work;
         hand.legs[hand.posted] =
-            Posting { worker: at, at: now, expected: worker.own_wait(), started: None, out: true };
+            Posting { worker: at, at: now, expected: worker.queue(0.0, 0.0), started: None, out: true };
         let token = u64::from(hand.txn.id) | (hand.posted as u64) << 32;
         hand.posted += 1;
         hand.stage = next(hand.stage, Input::Posted, hand.effect).0;
@@ -605,15 +604,14 @@
         let Some((key, posting)) = self.posting(txn, leg) else { return };
         self.txns[key].legs[usize::from(leg)].started = Some(now);
         self.tally(now);
-        let hand = &self.txns[key];
         let worker = &mut self.workers[posting.worker];
-        worker.seats = worker.seats.max(worker.out - worker.waiting);
+        worker.clear(now, 0.1);
         (worker.lag, worker.lag_at) = (((now - posting.at) as f64 - posting.expected).max(0.0), now);
         // The fleet's delay is the mean of about the last ten starts.
-        self.lag += 0.1 * (worker.lag - self.lag);
-        self.lag_at = now;
-        worker.clear(now, 0.1);
-        let run = 2.0 * hand.work * worker.pace + 0.5 * SECOND;
+        (self.lag, self.lag_at) = (self.lag + 0.1 * (worker.lag - self.lag), now);
+        let run = 2.0 * self.txns[key].work * worker.pace + 0.5 * SECOND;
+        let (kind, running) = (worker.kind, worker.out - worker.waiting);
+        self.seats(kind, running);
         let token = u64::from(txn) | u64::from(leg) << 32;
         acts.push(Action::Timer { at: now + run as Nanos, token });
     }
@@ -627,7 +625,7 @@
             return self.place(now, key, acts);
         }
         let Some((_, posting)) = self.posting(txn, leg as u8) else { return };
-        let (stage, effect, due, work) = (hand.stage, hand.effect, hand.due, hand.work);
+        let (stage, effect, doubt, posted) = (hand.stage, hand.effect, hand.doubt, hand.posted);
         let worker = &mut self.workers[posting.worker];
         // A worker that has shown life since is only busy; one that has not may be hung.
         let age = now - posting.started.unwrap_or(posting.at);
@@ -637,11 +635,18 @@
             worker.blame(now, 0.5);
         }
         acts.push(Action::Timer { at: now + age.max(300_000_000), token });
-        // What has not started is taken elsewhere while that can still be in time.
-        let spare = due.saturating_sub(now) as f64 - work;
+        // What has not started is taken elsewhere if it can start there with half its room to spare. Guards
+        // against txns taken back from a queue only to be given up.
         let moves = matches!(stage, Out | Again) && effect != OnceOnly && self.says("withdraw.allowed") > 0.0;
-        if moves && posting.started.is_none() && spare > 0.0 && hand.posted < self.most_postings() {
-            acts.push(Action::Withdraw { txn, leg: leg as u8 });
+        if moves && posting.started.is_none() && posted < self.most_postings() {
+            let doubt =
+                std::mem::replace(&mut self.txns[key].doubt, doubt.or(Some((posting.worker, posting.at))));
+            let better =
+                self.choose(now, key).is_some_and(|(at, _, strain)| at != posting.worker && strain < 0.5);
+            self.txns[key].doubt = doubt;
+            if better {
+                acts.push(Action::Withdraw { txn, leg: leg as u8 });
+            }
         }
     }
 
@@ -675,6 +680,13 @@
         self.input(now, txn, input, acts);
     }
 
+    /// Workers of one kind have as many seats as any of them was seen to fill.
+    fn seats(&mut self, kind: u8, seen: f64) {
+        for worker in self.workers.iter_mut().filter(|worker| worker.kind == kind) {
+            worker.seats = worker.seats.max(seen);
+        }
+    }
+
     fn read_report(&mut self, now: Nanos, at: usize, report: Report) {
         let value = |name: &str| {
             let place = self.report_fields.iter().position(|field| field == name)?;
@@ -687,10 +699,12 @@
         self.tally(now);
         // Reports are late: a lone dispatcher would take its own newest jobs for others'.
         let unseen = 1.0 - 1.0 / self.says("dispatchers").max(1.0);
-        let worker = &mut self.workers[at];
+        let mut worker = &mut self.workers[at];
         let running = worker.out - worker.waiting;
         if let Some(free) = free {
-            worker.seats = worker.seats.max((free + running).floor());
+            let kind = worker.kind;
+            self.seats(kind, (free + running).floor());
+            worker = &mut self.workers[at];
             worker.others = (worker.seats - free - running).max(0.0);
         }
         if let Some(inflight) = inflight {
