--- a/src/policy.rs
+++ b/src/policy.rs
@@ -468,7 +468,7 @@
         }
         // A lone dispatcher knows all that waits; of several, each sees its part.
         (1.0 - 1.0 / dispatchers)
-            * fade(self.lag, self.lag_at, now, SECOND).max(delays / f64::max(count, 1.0))
+            * fade(self.lag, self.lag_at, now, SECOND)
     }
 
     /// The worker for a txn, and how long it would wait there: its lane's, or the nearest id neighbour
