--- a/crates/wirehost/src/translate.rs
+++ b/crates/wirehost/src/translate.rs
@@ -73,8 +73,9 @@
 fn txn(f: &mut Fields<'_>) -> Result<Txn, Fault> {
     let (id, hint, scheme, _entity) = (f.u32()?, f.u64()?, f.u8()?, f.u64()?);
     let (party, expiry, bits, slots) = (f.u16()?, f.u64()?, f.u16()?, f.f32()?);
+    let memory = if f.is_empty() { 0.0 } else { f.f32()? };
     let hint = (bits & VALID_HINT != 0 && hint > 0).then_some(hint);
-    Ok(Txn { id, scheme, party, hint, slots, expiry })
+    Ok(Txn { id, scheme, party, hint, slots, memory, expiry })
 }
 
 fn outcome(code: u16) -> Result<Outcome, Fault> {
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -182,20 +182,20 @@
     }
 
     /// How long a new job would wait for its start, by what this dispatcher knows.
-    fn wait(&self, now: Nanos, mean: f64, fleet: f64) -> f64 {
+    fn wait(&self, now: Nanos, need: f64, mean: f64, fleet: f64) -> f64 {
         // Reports and start delays tell of others' work, which changes as fast as jobs end: about 1 s.
         let others = fade(self.others, self.others_at, now, SECOND);
         // What is not seen anew drifts to what the whole fleet shows. Guards against a fleet jammed by
         // many dispatchers, in which each sees too little of one worker to notice its queue.
         let lag = fleet + fade(self.lag - fleet, self.lag_at, now, SECOND);
-        self.queue(others, mean) + lag
+        self.queue(need, others, mean) + lag
     }
 
     /// The wait until a seat is free, by this dispatcher's postings and so many jobs of others: what is
     /// in the worker ends one by one, as fast as its seats work together.
-    fn queue(&self, others: f64, mean: f64) -> f64 {
+    fn queue(&self, need: f64, others: f64, mean: f64) -> f64 {
         let count = self.out + others;
-        let enders = (count + 1.0 - self.seats).max(0.0);
+        let enders = (count + need.min(self.seats) - self.seats).max(0.0);
         if enders > 0.0 { enders * (self.ahead + others * mean) / count / self.seats } else { 0.0 }
     }
 }
@@ -447,19 +447,20 @@
         for (_, hand) in &self.txns {
             for posting in hand.legs[..hand.posted].iter().filter(|posting| posting.out) {
                 let worker = &mut self.workers[posting.worker];
-                let expected = hand.work * worker.pace;
-                worker.out += 1.0;
+                let expected = hand.run * worker.pace;
+                worker.out += hand.need;
                 let delay = (posting.started.unwrap_or(now) - posting.at) as f64;
                 let delay = (delay - posting.expected).max(0.0);
                 delays += delay;
                 count += 1.0;
-                worker.ahead += match posting.started {
-                    // A job past its hint has, as such sizes go, about a third of its age still to run.
-                    Some(from) => (expected - (now - from) as f64).max(0.3 * (now - from) as f64),
-                    None => expected,
-                };
+                worker.ahead += hand.need
+                    * match posting.started {
+                        // A job past its hint has, as such sizes go, about a third of its age still to run.
+                        Some(from) => (expected - (now - from) as f64).max(0.3 * (now - from) as f64),
+                        None => expected,
+                    };
                 if posting.started.is_none() {
-                    worker.waiting += 1.0;
+                    worker.waiting += hand.need;
                     if delay > fade(worker.lag, worker.lag_at, now, SECOND) {
                         (worker.lag, worker.lag_at) = (delay, now);
                     }
@@ -467,8 +468,7 @@
             }
         }
         // A lone dispatcher knows all that waits; of several, each sees its part.
-        (1.0 - 1.0 / dispatchers)
-            * fade(self.lag, self.lag_at, now, SECOND)
+        (1.0 - 1.0 / dispatchers) * fade(self.lag, self.lag_at, now, SECOND)
     }
 
     /// The worker for a txn, and how long it would wait there: its lane's, or the nearest id neighbour
@@ -476,7 +476,8 @@
     fn choose(&mut self, now: Nanos, key: usize) -> Option<(usize, f64, f64)> {
         let fleet = self.tally(now);
         let hand = &self.txns[key];
-        let (work, due, doubt, effect) = (hand.work, hand.due, hand.doubt, hand.effect);
+        let (work, run, due, doubt, effect) = (hand.work, hand.run, hand.due, hand.doubt, hand.effect);
+        let need = hand.need;
         let last = hand.posted.checked_sub(1).map(|leg| hand.legs[leg].worker);
         let scheme = &self.schemes[usize::from(hand.txn.scheme)];
         let (lanes, mean) = (scheme.lanes.clone(), scheme.mean());
@@ -507,13 +508,13 @@
                 continue;
             }
             let worker = &self.workers[at];
-            let room = (due.saturating_sub(now) as f64 - work * worker.pace).max(1.0);
-            let wait = worker.wait(now, mean, fleet);
+            let room = (due.saturating_sub(now) as f64 - run * worker.pace).max(1.0);
+            let wait = worker.wait(now, need, mean, fleet);
             let doubt = self.doubt(at, now) + if last == Some(at) { 0.5 } else { 0.0 };
             let strain = wait / room;
             // Taken when there is a seat for it in this dispatcher's part, the worker is not distrusted,
             // and no more than a quarter of the room before the SLA time goes in waiting.
-            if worker.out < worker.part && doubt < 0.25 && strain < 0.25 {
+            if worker.out + need.min(worker.part) <= worker.part && doubt < 0.25 && strain < 0.25 {
                 return Some((at, wait, strain));
             }
             let cost = strain + worker.ahead / worker.seats / room + doubt;
@@ -532,15 +533,28 @@
             acts.push(Action::Decline { txn: txn.id, come_back: 0 });
             return;
         };
-        let hint = txn.hint.map_or_else(|| scheme.mean(), |hint| hint as f64);
-        let work = hint * f64::from(txn.slots).max(1.0);
+        let slots = f64::from(txn.slots).max(1.0);
+        let run = txn.hint.map_or_else(|| scheme.mean() / slots, |hint| hint as f64);
+        // A job waits until both its slots and its memory fit; a worker has a unit of memory a slot.
+        let (work, need) = (run * slots, slots.max(f64::from(txn.memory)));
         scheme.bins[bin_of(work).min(BINS - 1)] += work;
         scheme.seen += 1.0;
         self.gaps[usize::from(scheme.high)].arrival(now);
-        let due = (now + (scheme.sla + scheme.stretch * hint) as Nanos).min(txn.expiry);
+        let due = (now + (scheme.sla + scheme.stretch * run) as Nanos).min(txn.expiry);
         let none = Posting { worker: 0, at: 0, expected: 0.0, started: None, out: false };
         let effect = scheme.effect;
-        let hand = InHand { txn, effect, stage: Held, work, due, legs: [none; LEGS], posted: 0, doubt: None };
+        let hand = InHand {
+            txn,
+            effect,
+            stage: Held,
+            work,
+            run,
+            need,
+            due,
+            legs: [none; LEGS],
+            posted: 0,
+            doubt: None,
+        };
         let key = self.txns.insert(hand);
         self.held.insert(txn.id, key);
         self.place(now, key, acts);
@@ -548,11 +562,11 @@
 
     fn place(&mut self, now: Nanos, key: usize, acts: &mut Vec<Action>) {
         let hand = &self.txns[key];
-        let (id, due, work, expiry) = (hand.txn.id, hand.due, hand.work, hand.txn.expiry);
+        let (id, due, run, expiry) = (hand.txn.id, hand.due, hand.run, hand.txn.expiry);
         if hand.posted >= self.most_postings() || now >= expiry {
             return self.input(now, id, Input::GivenUp, acts);
         }
-        let room = due.saturating_sub(now) as f64 - work;
+        let room = due.saturating_sub(now) as f64 - run;
         match self.choose(now, key) {
             Some((at, cost, strain)) if self.txns[key].posted > 0 || self.kept(key, strain) => {
                 self.post(now, key, at, cost, acts);
@@ -581,14 +595,19 @@
         let hand = &mut self.txns[key];
         let worker = &mut self.workers[at];
         worker.budget -= hand.work;
-        hand.legs[hand.posted] =
-            Posting { worker: at, at: now, expected: worker.queue(0.0, 0.0), started: None, out: true };
+        hand.legs[hand.posted] = Posting {
+            worker: at,
+            at: now,
+            expected: worker.queue(hand.need, 0.0, 0.0),
+            started: None,
+            out: true,
+        };
         let token = u64::from(hand.txn.id) | (hand.posted as u64) << 32;
         hand.posted += 1;
         hand.stage = next(hand.stage, Input::Posted, hand.effect).0;
         acts.push(Action::Post { txn: hand.txn.id, worker: worker.id, within: 0 });
         // Overdue: a start later than expected by 300 ms, or without start notes by twice the run.
-        let run = if tells_start { 0.0 } else { 2.0 * hand.work * worker.pace };
+        let run = if tells_start { 0.0 } else { 2.0 * hand.run * worker.pace };
         let at = now + (cost.min(2.0 * SECOND) * 1.5 + run + 0.3 * SECOND) as Nanos;
         acts.push(Action::Timer { at, token });
     }
@@ -609,8 +628,8 @@
         (worker.lag, worker.lag_at) = (((now - posting.at) as f64 - posting.expected).max(0.0), now);
         // The fleet's delay is the mean of about the last ten starts.
         (self.lag, self.lag_at) = (self.lag + 0.1 * (worker.lag - self.lag), now);
-        let run = 2.0 * self.txns[key].work * worker.pace + 0.5 * SECOND;
-        let (kind, running) = (worker.kind, worker.out - worker.waiting);
+        let run = 2.0 * self.txns[key].run * worker.pace + 0.5 * SECOND;
+        let (kind, running) = (worker.kind, (worker.out - worker.waiting).floor());
         self.seats(kind, running);
         let token = u64::from(txn) | u64::from(leg) << 32;
         acts.push(Action::Timer { at: now + run as Nanos, token });
@@ -655,13 +674,13 @@
         let Some((key, posting)) = self.posting(txn, leg) else { return };
         self.txns[key].legs[usize::from(leg)].out = false;
         self.read_report(now, posting.worker, report);
-        let work = self.txns[key].work;
+        let run = self.txns[key].run;
         let worker = &mut self.workers[posting.worker];
         match outcome {
             Outcome::Settled => {
                 if let Some(from) = posting.started {
                     // One job tells little of a worker's pace (its hint may be off): a tenth at a time.
-                    let pace = ((now - from) as f64 / work).clamp(0.2, 10.0);
+                    let pace = ((now - from) as f64 / run).clamp(0.2, 10.0);
                     worker.pace += 0.1 * (pace - worker.pace);
                 }
                 worker.clear(now, 0.2);
@@ -703,7 +722,7 @@
         let running = worker.out - worker.waiting;
         if let Some(free) = free {
             let kind = worker.kind;
-            self.seats(kind, (free + running).floor());
+            self.seats(kind, free.round());
             worker = &mut self.workers[at];
             worker.others = (worker.seats - free - running).max(0.0);
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -70,6 +70,9 @@
     pub stage: Stage,
     /// Hint times slots.
     pub work: f64,
+    /// The hint, and the seats the job takes.
+    pub run: f64,
+    pub need: f64,
     pub due: Nanos,
     pub legs: [Posting; LEGS],
     pub posted: usize,
--- a/src/types.rs
+++ b/src/types.rs
@@ -67,6 +67,7 @@
     pub party: u16,
     pub hint: Option<Nanos>,
     pub slots: f32,
+    pub memory: f32,
     pub expiry: Nanos,
 }
 
