--- a/src/policy.rs
+++ b/src/policy.rs
@@ -182,12 +182,12 @@
     }
 
     /// How long a new job would wait for its start, by what this dispatcher knows.
-    fn wait(&self, now: Nanos, need: f64, mean: f64, fleet: f64) -> f64 {
+    fn wait(&self, now: Nanos, need: f64, mean: f64, fleet: (f64, f64)) -> f64 {
         // Reports and start delays tell of others' work, which changes as fast as jobs end: about 1 s.
-        let others = fade(self.others, self.others_at, now, SECOND);
+        let others = fleet.1 + fade(self.others - fleet.1, self.others_at, now, SECOND);
         // What is not seen anew drifts to what the whole fleet shows. Guards against a fleet jammed by
         // many dispatchers, in which each sees too little of one worker to notice its queue.
-        let lag = fleet + fade(self.lag - fleet, self.lag_at, now, SECOND);
+        let lag = fleet.0 + fade(self.lag - fleet.0, self.lag_at, now, SECOND);
         self.queue(need, others, mean) + lag
     }
 
@@ -222,6 +222,7 @@
     /// The start delay of late, over all workers.
     lag: f64,
     lag_at: Nanos,
+    others: f64,
 }
 
 /// The settings without which nothing can be decided; a missing one ends the start.
@@ -263,6 +264,7 @@
             cut_at: 0,
             lag: 0.0,
             lag_at: now,
+            others: 0.0,
         })
     }
 
@@ -474,7 +476,7 @@
     /// The worker for a txn, and how long it would wait there: its lane's, or the nearest id neighbour
     /// that can start it soon enough; failing that, the one with the least to wait.
     fn choose(&mut self, now: Nanos, key: usize) -> Option<(usize, f64, f64)> {
-        let fleet = self.tally(now);
+        let fleet = (self.tally(now), self.others);
         let hand = &self.txns[key];
         let (work, run, due, doubt, effect) = (hand.work, hand.run, hand.due, hand.doubt, hand.effect);
         let need = hand.need;
@@ -731,6 +733,7 @@
         }
         worker.others *= unseen;
         worker.others_at = now;
+        self.others += 0.1 * (worker.others - self.others);
     }
 
     /// Runs one input for a txn through the table and carries out what follows.
