--- a/src/policy.rs
+++ b/src/policy.rs
@@ -588,7 +588,7 @@
     fn kept(&mut self, key: usize, strain: f64) -> bool {
         let value = self.schemes[usize::from(self.txns[key].txn.scheme)].value;
         let most = self.schemes.iter().map(|scheme| scheme.value).fold(0.0, f64::max);
-        let fits = (2.0 - 2.0 * strain).clamp(0.0, 1.0);
+        let fits = (2.5 - 2.0 * strain).clamp(0.0, 1.0);
         fits >= 1.0 || self.chance.unit() < fits.powf(most / value.max(1e-9))
     }
 
