--- a/src/policy.rs
+++ b/src/policy.rs
@@ -12,9 +12,8 @@
 use crate::state::Stage::{Again, Answered, Doubted, Held, Out};
 use crate::state::{BINS, BINS_AN_OCTAVE, Bins, FIRST_EDGE, pick};
 use crate::state::{Effect, Gaps, InHand, Input, LEGS, Map, Posting, Scheme, Stage, Step, Worker};
-use crate::types::{
-    Action, Ended, Event, Listed, Nanos, Outcome, Report, Scope, Standing, Txn, TxnId, WorkerId,
-};
+use crate::types::{Action, Ended, Event, Listed, Nanos, Outcome, Report, Scope, Standing};
+use crate::types::{Txn, TxnId, WorkerId};
 use rustc_hash::FxHashMap;
 use slab::Slab;
 use std::collections::BTreeMap;
@@ -32,35 +31,26 @@
 
 const ALL: &[Effect] = &[Repeatable, Referenced, OnceOnly];
 
-/// State, input, for which effects, next state, effect. What is not listed changes nothing.
-const TABLE: &[(Stage, Input, &[Effect], Stage, Step)] = &[
-    (Held, Input::Posted, ALL, Out, Step::Nothing),
-    (Held, Input::GivenUp, ALL, Answered, Step::Decline),
-    (Held, Input::Left, ALL, Answered, Step::Nothing),
-    (Out, Input::Settled, ALL, Answered, Step::Nothing),
-    (Out, Input::NotRun, ALL, Held, Step::Place),
-    (Out, Input::MayHaveRun, &[Repeatable], Held, Step::Place),
-    (Out, Input::MayHaveRun, &[Referenced], Doubted, Step::Place),
-    (Out, Input::MayHaveRun, &[OnceOnly], Answered, Step::Reverse),
-    (Out, Input::GivenUp, ALL, Answered, Step::Reverse),
-    (Out, Input::Left, ALL, Answered, Step::Nothing),
-    (Doubted, Input::Posted, &[Referenced], Again, Step::Nothing),
-    (Doubted, Input::GivenUp, &[Referenced], Answered, Step::Reverse),
-    (Doubted, Input::Left, &[Referenced], Answered, Step::Nothing),
-    (Again, Input::Settled, &[Referenced], Answered, Step::Nothing),
-    (Again, Input::NotRun, &[Referenced], Doubted, Step::Place),
-    (Again, Input::MayHaveRun, &[Referenced], Doubted, Step::Place),
-    (Again, Input::GivenUp, &[Referenced], Answered, Step::Reverse),
-    (Again, Input::Left, &[Referenced], Answered, Step::Nothing),
+/// States, input, for which effects, next state, effect. What is not listed changes nothing.
+type Row = (&'static [Stage], Input, &'static [Effect], Stage, Step);
+
+const TABLE: &[Row] = &[
+    (&[Held], Input::Posted, ALL, Out, Step::Nothing),
+    (&[Doubted], Input::Posted, ALL, Again, Step::Nothing),
+    (&[Out, Again], Input::Settled, ALL, Answered, Step::Nothing),
+    (&[Out], Input::NotRun, ALL, Held, Step::Place),
+    (&[Again], Input::NotRun, ALL, Doubted, Step::Place),
+    (&[Out], Input::MayHaveRun, &[Repeatable], Held, Step::Place),
+    (&[Out, Again], Input::MayHaveRun, &[Referenced], Doubted, Step::Place),
+    (&[Out], Input::MayHaveRun, &[OnceOnly], Answered, Step::Reverse),
+    (&[Held], Input::GivenUp, ALL, Answered, Step::Decline),
+    (&[Out, Doubted, Again], Input::GivenUp, ALL, Answered, Step::Reverse),
+    (&[Held, Out, Doubted, Again], Input::Left, ALL, Answered, Step::Nothing),
 ];
 
 fn next(stage: Stage, input: Input, effect: Effect) -> (Stage, Step) {
-    for (at, on, effects, to, step) in TABLE {
-        if *at == stage && *on == input && effects.contains(&effect) {
-            return (*to, *step);
-        }
-    }
-    (stage, Step::Nothing)
+    let row = TABLE.iter().find(|row| row.0.contains(&stage) && row.1 == input && row.2.contains(&effect));
+    row.map_or((stage, Step::Nothing), |row| (row.3, row.4))
 }
 
 /// An outcome counts as "not run" only where it proves it.
@@ -202,6 +192,7 @@
 
 // ---- The dispatcher ------------------------------------------------------------------------------
 
+#[derive(Default)]
 pub struct Dispatcher {
     chance: Pcg,
     schemes: Vec<Scheme>,
@@ -218,6 +209,7 @@
     ask_at: Nanos,
     ask_failures: u32,
     beating: bool,
+    most_postings: usize,
     cut_at: Nanos,
     /// The start delay of late, over all workers.
     lag: f64,
@@ -226,7 +218,7 @@
 }
 
 /// The settings without which nothing can be decided; a missing one ends the start.
-const FIGURES: &str = "dispatchers posting.most come_back.allowed come_back.most withdraw.allowed tells_start \
+const FIGURES: &str = "dispatchers come_back.allowed come_back.most withdraw.allowed tells_start \
     cold.from cold.time fall.multiple fall.window";
 
 /// The timer of the beat; all others carry a txn's id and leg.
@@ -249,22 +241,13 @@
         Ok(Dispatcher {
             chance: Pcg::new(seed),
             schemes,
-            workers: Vec::new(),
-            known: FxHashMap::default(),
-            txns: Slab::new(),
-            held: FxHashMap::default(),
+            most_postings: pick::<usize>(map, "posting.most")?.min(LEGS),
             gaps: [Gaps { from: now, ..Gaps::default() }, Gaps { from: now, ..Gaps::default() }],
             report_fields: pick::<String>(map, "report.fields")?.split(',').map(String::from).collect(),
             figures,
             list_asked: pick::<String>(map, "list.mode")? == "asked",
-            following: false,
-            ask_at: 0,
-            ask_failures: 0,
-            beating: false,
-            cut_at: 0,
-            lag: 0.0,
             lag_at: now,
-            others: 0.0,
+            ..Dispatcher::default()
         })
     }
 
@@ -285,9 +268,7 @@
             Event::StreamBegun { txn } | Event::Lapsed { txn } => self.input(now, txn, Input::Left, acts),
             Event::Ended(end) => self.ended(now, end, acts),
             Event::Probed { worker, outcome, report, .. } => {
-                if let Some(&at) = self.known.get(&worker)
-                    && outcome == Outcome::Settled
-                {
+                if let (Some(&at), Outcome::Settled) = (self.known.get(&worker), outcome) {
                     self.workers[at].alive = now;
                     self.read_report(now, at, report);
                 }
@@ -306,12 +287,6 @@
         self.figures.get(name).copied().unwrap_or(0.0)
     }
 
-    fn most_postings(&self) -> usize {
-        (self.says("posting.most") as usize).min(LEGS)
-    }
-
-    // -- Following the list --
-
     fn follow(&mut self, now: Nanos, acts: &mut Vec<Action>) {
         if self.list_asked && !self.following && now >= self.ask_at {
             // One call at a time: the next is due only when this one has failed.
@@ -358,38 +333,23 @@
 
     /// The part of its full capacity that a worker surely has: the settings' slowest way up.
     fn warmth(&self, worker: &Worker, now: Nanos) -> f64 {
-        if worker.started == 0 {
-            return 1.0;
-        }
-        let age = now.saturating_sub(worker.started) as f64;
-        let from = self.says("cold.from");
-        (from + (1.0 - from) * age / self.says("cold.time").max(1.0)).min(1.0)
+        let (age, from) = (now.saturating_sub(worker.started) as f64, self.says("cold.from"));
+        let ramp = (from + (1.0 - from) * age / self.says("cold.time").max(1.0)).min(1.0);
+        if worker.started == 0 { 1.0 } else { ramp }
     }
 
-    /// Refills and returns the cold budget of a worker: none while it is warm.
-    fn budget(&mut self, at: usize, now: Nanos) -> Option<f64> {
-        let warmth = self.warmth(&self.workers[at], now);
-        if warmth >= 1.0 {
-            return None;
-        }
-        // Full capacity by what is known of the fleet: seats for its size, the worst seen of warm ones.
-        let unit = |w: &Worker| w.seats / w.pace / w.size;
-        let warm = self.workers.iter().filter(|w| w.standing != Standing::Gone && w.started != now);
-        let unit = warm.map(unit).fold(f64::INFINITY, f64::min);
-        let worker = &self.workers[at];
-        let capacity = unit.min(4.0) * worker.size * warmth;
+    /// What this dispatcher may still send to a cold worker now.
+    fn budget(&self, worker: &Worker, now: Nanos) -> f64 {
+        // Full capacity by what is known of the fleet: seats at their pace for its size, at the least.
+        let known = self.workers.iter().filter(|w| w.standing != Standing::Gone);
+        let unit = known.map(|w| w.seats / w.pace / w.size).fold(f64::INFINITY, f64::min);
+        let capacity = unit * worker.size * self.warmth(worker, now);
         // Half as a store and half as a flow keep any window under the whole; 0.7 for what hints miss.
         let rate = 0.7 * self.says("fall.multiple") * capacity / self.says("dispatchers").max(1.0) / 2.0;
-        let store = rate * self.says("fall.window");
-        let gained = rate * (now - worker.budget_at) as f64;
-        let worker = &mut self.workers[at];
-        worker.budget = (worker.budget + gained).min(store);
-        worker.budget_at = now;
-        Some(worker.budget)
+        let gained = rate * now.saturating_sub(worker.budget_at) as f64;
+        (worker.budget + gained).min(rate * self.says("fall.window"))
     }
 
-    // -- Lanes --
-
     /// Draws every scheme's lanes anew.
     fn recut(&mut self, now: Nanos) {
         // Half the histogram's weight is of the last 20 s: some hundred jobs where a dispatcher sees 5/s.
@@ -399,26 +359,23 @@
             scheme.bins.iter_mut().for_each(|work| *work *= keep);
             scheme.seen *= keep;
         }
+        self.tally(now);
         let mut order: Vec<usize> = (0..self.workers.len()).collect();
         order.retain(|at| self.workers[*at].standing == Standing::Ready);
         order.sort_unstable_by_key(|at| self.workers[*at].id);
         let (r, low, high) = corrections(self.gaps[0].estimate, self.gaps[1].estimate);
-        let lone =
-            self.schemes.iter().all(|scheme| !scheme.high) || self.schemes.iter().all(|scheme| scheme.high);
+        let lone = self.schemes.iter().all(|scheme| scheme.high == self.schemes[0].high);
         for at in 0..self.schemes.len() {
             let kind = self.schemes[at].kind;
-            let lanes: Vec<usize> = order
-                .iter()
-                .copied()
-                .filter(|w| kind < 0 || i64::from(self.workers[*w].kind) == kind)
-                .collect();
+            let fits = |w: &usize| kind < 0 || i64::from(self.workers[*w].kind) == kind;
+            let lanes: Vec<usize> = order.iter().copied().filter(fits).collect();
             let mut whole = [0.0; BINS];
             for scheme in self.schemes.iter().filter(|scheme| scheme.kind == kind) {
                 whole.iter_mut().zip(&scheme.bins).for_each(|(sum, work)| *sum += work);
             }
             let share = |w: &usize| {
                 let worker = &self.workers[*w];
-                worker.size * (1.0 - self.doubt(*w, now)) * self.warmth(worker, now)
+                worker.size * (1.0 - worker.doubt) * self.warmth(worker, now)
             };
             let targets: Vec<f64> =
                 shifts(lanes.len(), r).iter().zip(&lanes).map(|(p, w)| (1.0 + p) * share(w)).collect();
@@ -430,66 +387,55 @@
         }
     }
 
-    /// Distrust above the fleet's mean: when all look bad at once, no one is worse than another.
-    fn doubt(&self, at: usize, now: Nanos) -> f64 {
-        let ready = self.workers.iter().filter(|worker| worker.standing == Standing::Ready);
-        let (sum, count) = ready.fold((0.0, 0.0), |(s, n), w| (s + w.distrust(now), n + 1.0));
-        (self.workers[at].distrust(now) - sum / f64::max(count, 1.0)).clamp(0.0, 0.95)
-    }
-
-    /// Counts this dispatcher's postings out and the running time they still need; returns the start
-    /// delay of the fleet: of late, or of what is out if that is longer.
-    fn tally(&mut self, now: Nanos) -> f64 {
-        let (mut delays, mut count) = (0.0, 0.0);
+    /// Brings up to date what follows from the postings out and from the clock.
+    fn tally(&mut self, now: Nanos) {
         let dispatchers = self.says("dispatchers").max(1.0);
+        let ready = self.workers.iter().filter(|worker| worker.standing == Standing::Ready);
+        let (sum, count) = ready.fold((0.0, 0.0), |(sum, n), worker| (sum + worker.distrust(now), n + 1.0));
         for worker in &mut self.workers {
+            // Distrust above the fleet's mean: when all look bad at once, no one is worse than another.
+            worker.doubt = (worker.distrust(now) - sum / f64::max(count, 1.0)).clamp(0.0, 0.95);
             worker.part = (worker.seats / dispatchers).max(1.0);
             (worker.out, worker.waiting, worker.ahead) = (0.0, 0.0, 0.0);
         }
         for (_, hand) in &self.txns {
             for posting in hand.legs[..hand.posted].iter().filter(|posting| posting.out) {
                 let worker = &mut self.workers[posting.worker];
-                let expected = hand.run * worker.pace;
+                let age = now.saturating_sub(posting.started.unwrap_or(now)) as f64;
                 worker.out += hand.need;
-                let delay = (posting.started.unwrap_or(now) - posting.at) as f64;
-                let delay = (delay - posting.expected).max(0.0);
-                delays += delay;
-                count += 1.0;
-                worker.ahead += hand.need
-                    * match posting.started {
-                        // A job past its hint has, as such sizes go, about a third of its age still to run.
-                        Some(from) => (expected - (now - from) as f64).max(0.3 * (now - from) as f64),
-                        None => expected,
-                    };
+                // A job past its hint has, as such sizes go, about a third of its age still to run.
+                worker.ahead += hand.need * (hand.run * worker.pace - age).max(0.3 * age);
                 if posting.started.is_none() {
                     worker.waiting += hand.need;
+                    let delay = ((now - posting.at) as f64 - posting.expected).max(0.0);
                     if delay > fade(worker.lag, worker.lag_at, now, SECOND) {
                         (worker.lag, worker.lag_at) = (delay, now);
                     }
                 }
             }
         }
-        // A lone dispatcher knows all that waits; of several, each sees its part.
-        (1.0 - 1.0 / dispatchers) * fade(self.lag, self.lag_at, now, SECOND)
     }
 
     /// The worker for a txn, and how long it would wait there: its lane's, or the nearest id neighbour
     /// that can start it soon enough; failing that, the one with the least to wait.
     fn choose(&mut self, now: Nanos, key: usize) -> Option<(usize, f64, f64)> {
-        let fleet = (self.tally(now), self.others);
+        self.tally(now);
+        let drawn = self.chance.unit();
         let hand = &self.txns[key];
         let (work, run, due, doubt, effect) = (hand.work, hand.run, hand.due, hand.doubt, hand.effect);
         let need = hand.need;
         let last = hand.posted.checked_sub(1).map(|leg| hand.legs[leg].worker);
         let scheme = &self.schemes[usize::from(hand.txn.scheme)];
-        let (lanes, mean) = (scheme.lanes.clone(), scheme.mean());
-        let (group, window) = (scheme.group.clone(), scheme.window);
+        let (lanes, mean) = (&scheme.lanes, scheme.mean());
         // With under 8 jobs in the histogram it cannot be cut: the lane is drawn by chance.
         let mine = if scheme.cuts.len() + 1 != lanes.len() || scheme.seen < 8.0 {
-            ((self.chance.unit() * lanes.len() as f64) as usize).min(lanes.len().saturating_sub(1))
+            ((drawn * lanes.len() as f64) as usize).min(lanes.len().saturating_sub(1))
         } else {
             scheme.cuts.partition_point(|cut| *cut <= work)
         };
+        // A lone dispatcher knows all that waits; of several, each sees its part.
+        let unseen = 1.0 - 1.0 / self.says("dispatchers").max(1.0);
+        let fleet = (unseen * fade(self.lag, self.lag_at, now, SECOND), self.others);
         let (mut least, mut best) = (f64::INFINITY, None);
         for step in 0..2 * lanes.len() {
             let far = step.div_ceil(2);
@@ -497,22 +443,22 @@
             let Some(&at) = lane.and_then(|lane| lanes.get(lane)) else { continue };
             if let Some((first, since)) = doubt.filter(|_| effect == Referenced) {
                 let (a, b) = (&self.workers[first], &self.workers[at]);
-                let drops = match group.as_str() {
+                let drops = match scheme.group.as_str() {
                     "all" => true,
                     "zone" => a.zone == b.zone,
                     _ => a.group == b.group,
                 };
-                if !drops || now >= since + window {
+                if !drops || now >= since + scheme.window {
                     continue;
                 }
             }
-            if self.budget(at, now).is_some_and(|budget| budget < work) {
+            let worker = &self.workers[at];
+            if self.warmth(worker, now) < 1.0 && self.budget(worker, now) < work {
                 continue;
             }
-            let worker = &self.workers[at];
             let room = (due.saturating_sub(now) as f64 - run * worker.pace).max(1.0);
             let wait = worker.wait(now, need, mean, fleet);
-            let doubt = self.doubt(at, now) + if last == Some(at) { 0.5 } else { 0.0 };
+            let doubt = worker.doubt + if last == Some(at) { 0.5 } else { 0.0 };
             let strain = wait / room;
             // Taken when there is a seat for it in this dispatcher's part, the worker is not distrusted,
             // and no more than a quarter of the room before the SLA time goes in waiting.
@@ -527,8 +473,6 @@
         best
     }
 
-    // -- Txns --
-
     fn arrived(&mut self, now: Nanos, txn: Txn, acts: &mut Vec<Action>) {
         let Some(scheme) = self.schemes.get_mut(usize::from(txn.scheme)) else {
             // A scheme that the settings do not name: nothing is known that would make sending it safe.
@@ -543,39 +487,24 @@
         scheme.seen += 1.0;
         self.gaps[usize::from(scheme.high)].arrival(now);
         let due = (now + (scheme.sla + scheme.stretch * run) as Nanos).min(txn.expiry);
-        let none = Posting { worker: 0, at: 0, expected: 0.0, started: None, out: false };
-        let effect = scheme.effect;
-        let hand = InHand {
-            txn,
-            effect,
-            stage: Held,
-            work,
-            run,
-            need,
-            due,
-            legs: [none; LEGS],
-            posted: 0,
-            doubt: None,
-        };
+        let hand = InHand::new(txn, scheme.effect, work, run, need, due);
         let key = self.txns.insert(hand);
         self.held.insert(txn.id, key);
         self.place(now, key, acts);
     }
 
     fn place(&mut self, now: Nanos, key: usize, acts: &mut Vec<Action>) {
-        let hand = &self.txns[key];
-        let (id, due, run, expiry) = (hand.txn.id, hand.due, hand.run, hand.txn.expiry);
-        if hand.posted >= self.most_postings() || now >= expiry {
+        let InHand { txn: Txn { id, expiry, .. }, due, run, posted, .. } = self.txns[key];
+        if posted >= self.most_postings || now >= expiry {
             return self.input(now, id, Input::GivenUp, acts);
         }
-        let room = due.saturating_sub(now) as f64 - run;
         match self.choose(now, key) {
-            Some((at, cost, strain)) if self.txns[key].posted > 0 || self.kept(key, strain) => {
+            Some((at, cost, strain)) if posted > 0 || self.kept(key, strain) => {
                 self.post(now, key, at, cost, acts);
             }
             // Cold workers may soon take more: ask again shortly, as long as it can still be in time.
-            None if room > 0.0 => {
-                let token = u64::from(id) | (self.txns[key].posted as u64) << 32;
+            None if now + (run as Nanos) < due => {
+                let token = u64::from(id) | (posted as u64) << 32;
                 acts.push(Action::Timer { at: now + 25_000_000, token });
             }
             _ => self.input(now, id, Input::GivenUp, acts),
@@ -594,16 +523,12 @@
 
     fn post(&mut self, now: Nanos, key: usize, at: usize, cost: f64, acts: &mut Vec<Action>) {
         let tells_start = self.says("tells_start") > 0.0;
+        let left = self.budget(&self.workers[at], now);
         let hand = &mut self.txns[key];
         let worker = &mut self.workers[at];
-        worker.budget -= hand.work;
-        hand.legs[hand.posted] = Posting {
-            worker: at,
-            at: now,
-            expected: worker.queue(hand.need, 0.0, 0.0),
-            started: None,
-            out: true,
-        };
+        (worker.budget, worker.budget_at) = (left - hand.work, now);
+        let expected = worker.queue(hand.need, 0.0, 0.0);
+        hand.legs[hand.posted] = Posting { worker: at, at: now, expected, started: None, out: true };
         let token = u64::from(hand.txn.id) | (hand.posted as u64) << 32;
         hand.posted += 1;
         hand.stage = next(hand.stage, Input::Posted, hand.effect).0;
@@ -658,16 +583,14 @@
         acts.push(Action::Timer { at: now + age.max(300_000_000), token });
         // What has not started is taken elsewhere if it can start there with half its room to spare. Guards
         // against txns taken back from a queue only to be given up.
-        let moves = matches!(stage, Out | Again) && effect != OnceOnly && self.says("withdraw.allowed") > 0.0;
-        if moves && posting.started.is_none() && posted < self.most_postings() {
-            let doubt =
-                std::mem::replace(&mut self.txns[key].doubt, doubt.or(Some((posting.worker, posting.at))));
-            let better =
-                self.choose(now, key).is_some_and(|(at, _, strain)| at != posting.worker && strain < 0.5);
-            self.txns[key].doubt = doubt;
-            if better {
+        let moves = stage != Answered && effect != OnceOnly && self.says("withdraw.allowed") > 0.0;
+        if moves && posting.started.is_none() && posted < self.most_postings {
+            // Chosen as if the withdrawal had ended already: from then on the posting may have run.
+            self.txns[key].doubt = doubt.or(Some((posting.worker, posting.at)));
+            if self.choose(now, key).is_some_and(|(at, _, strain)| at != posting.worker && strain < 0.5) {
                 acts.push(Action::Withdraw { txn, leg: leg as u8 });
             }
+            self.txns[key].doubt = doubt;
         }
     }
 
@@ -720,17 +643,12 @@
         self.tally(now);
         // Reports are late: a lone dispatcher would take its own newest jobs for others'.
         let unseen = 1.0 - 1.0 / self.says("dispatchers").max(1.0);
-        let mut worker = &mut self.workers[at];
-        let running = worker.out - worker.waiting;
         if let Some(free) = free {
-            let kind = worker.kind;
-            self.seats(kind, free.round());
-            worker = &mut self.workers[at];
-            worker.others = (worker.seats - free - running).max(0.0);
-        }
-        if let Some(inflight) = inflight {
-            worker.others = (inflight - worker.out).max(0.0);
+            self.seats(self.workers[at].kind, free.round());
         }
+        let worker = &mut self.workers[at];
+        let by_slots = free.map(|free| worker.seats - free - (worker.out - worker.waiting));
+        worker.others = inflight.map(|all| all - worker.out).or(by_slots).unwrap_or(0.0).max(0.0);
         worker.others *= unseen;
         worker.others_at = now;
         self.others += 0.1 * (worker.others - self.others);
--- a/src/state.rs
+++ b/src/state.rs
@@ -50,7 +50,7 @@
     Reverse,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct Posting {
     pub worker: usize,
     pub at: Nanos,
@@ -80,6 +80,13 @@
     pub doubt: Option<(usize, Nanos)>,
 }
 
+impl InHand {
+    pub fn new(txn: Txn, effect: Effect, work: f64, run: f64, need: f64, due: Nanos) -> Self {
+        let legs = [Posting::default(); LEGS];
+        InHand { txn, effect, stage: Stage::Held, work, run, need, due, legs, posted: 0, doubt: None }
+    }
+}
+
 #[derive(Default)]
 pub struct Worker {
     pub id: WorkerId,
@@ -112,6 +119,8 @@
     pub ahead: f64,
     /// This dispatcher's part of its seats, at least one.
     pub part: f64,
+    /// Distrust above the fleet's mean.
+    pub doubt: f64,
 }
 
 /// Four bins an octave from 1 ms up reach 64 s; a bin is then narrower than a hint is exact.
