--- a/src/policy.rs
+++ b/src/policy.rs
@@ -10,7 +10,7 @@
 use crate::pcg::Pcg;
 use crate::state::Effect::{OnceOnly, Referenced, Repeatable};
 use crate::state::Stage::{Again, Answered, Doubted, Held, Out};
-use crate::state::{BINS, BINS_AN_OCTAVE, Bins, FIRST_EDGE, pick};
+use crate::state::{BINS, Bins, FIRST_EDGE, PARTS, pick};
 use crate::state::{Effect, Gaps, InHand, Input, LEGS, Map, Posting, Scheme, Stage, Step, Worker};
 use crate::types::{Action, Ended, Event, Listed, Nanos, Outcome, Report, Scope, Standing};
 use crate::types::{Txn, TxnId, WorkerId};
@@ -65,11 +65,13 @@
 // ---- The mechanism: lanes by DIFFEQAL ------------------------------------------------------------
 
 fn bin_of(work: f64) -> usize {
-    ((work / FIRST_EDGE).max(1.0).log2() * BINS_AN_OCTAVE) as usize
+    let units = (work / FIRST_EDGE).max(1.0);
+    let octave = (units as u64).ilog2() as usize;
+    octave * PARTS + ((units / (1_u64 << octave) as f64 - 1.0) * PARTS as f64) as usize
 }
 
 fn edge(bin: usize) -> f64 {
-    FIRST_EDGE * (bin as f64 / BINS_AN_OCTAVE).exp2()
+    FIRST_EDGE * (1_u64 << (bin / PARTS)) as f64 * (1.0 + (bin % PARTS) as f64 / PARTS as f64)
 }
 
 /// The source's semi-geometric routine: `n` shifts that sum to 0, the first of them `-r`.
@@ -333,9 +335,11 @@
 
     /// The part of its full capacity that a worker surely has: the settings' slowest way up.
     fn warmth(&self, worker: &Worker, now: Nanos) -> f64 {
+        if worker.started == 0 {
+            return 1.0;
+        }
         let (age, from) = (now.saturating_sub(worker.started) as f64, self.says("cold.from"));
-        let ramp = (from + (1.0 - from) * age / self.says("cold.time").max(1.0)).min(1.0);
-        if worker.started == 0 { 1.0 } else { ramp }
+        (from + (1.0 - from) * age / self.says("cold.time").max(1.0)).min(1.0)
     }
 
     /// What this dispatcher may still send to a cold worker now.
--- a/src/state.rs
+++ b/src/state.rs
@@ -123,9 +123,9 @@
     pub doubt: f64,
 }
 
-/// Four bins an octave from 1 ms up reach 64 s; a bin is then narrower than a hint is exact.
+/// Four bins an octave (`PARTS`, of like width) from 1 ms up reach 64 s; a bin is then narrower than a hint is exact.
 pub const BINS: usize = 64;
-pub const BINS_AN_OCTAVE: f64 = 4.0;
+pub const PARTS: usize = 4;
 pub const FIRST_EDGE: f64 = 1e6;
 
 pub type Bins = [f64; BINS];
