Withdraw only from a worker that has shown no life since the posting

Cause: a cancel stops nothing here, so taking a job back from a busy worker runs it twice, most of all under overload. Probes are not used and left the interface.

--- a/crates/wirehost/src/translate.rs
+++ b/crates/wirehost/src/translate.rs
@@ -29,7 +29,6 @@
         5 => ended(&mut f)?,
         6 => Event::Lapsed { txn: f.u32()? },
         7 => Event::Due { token: f.u64()? },
-        8 => probed(&mut f)?,
         11 => match note(&mut f)? {
             Some(event) => event,
             None => return Ok(Incoming::Unknown),
@@ -115,11 +114,6 @@
     Ok(Event::Ended(Ended { txn, leg, outcome, complete, report: report(f)? }))
 }
 
-fn probed(f: &mut Fields<'_>) -> Result<Event, Fault> {
-    let (worker, latency) = (worker(f)?, f.u64()?);
-    Ok(Event::Probed { worker, outcome: outcome(f.u16()?)?, latency, report: report(f)? })
-}
-
 fn note(f: &mut Fields<'_>) -> Result<Option<Event>, Fault> {
     let (txn, _worker, leg, share) = (f.u32()?, f.address()?, f.u8()?, f.f32()?);
     Ok(match f.u8()? {
@@ -242,7 +236,6 @@
             reply.record(65, &[&txn.to_le_bytes(), &come_back.to_le_bytes()]);
         }
         Action::Reverse { txn } => reply.record(73, &[&txn.to_le_bytes()]),
-        Action::Probe { worker } => reply.record(75, &[&worker.addr, &worker.port.to_le_bytes()]),
         Action::Follow => reply.record(66, &[&[1]]),
         Action::Timer { at, token } => reply.record(74, &[&at.to_le_bytes(), &token.to_le_bytes()]),
         Action::Say(text) => {
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -269,12 +269,6 @@
             }
             Event::StreamBegun { txn } | Event::Lapsed { txn } => self.input(now, txn, Input::Left, acts),
             Event::Ended(end) => self.ended(now, end, acts),
-            Event::Probed { worker, outcome, report, .. } => {
-                if let (Some(&at), Outcome::Settled) = (self.known.get(&worker), outcome) {
-                    self.workers[at].alive = now;
-                    self.read_report(now, at, report);
-                }
-            }
             Event::Due { token: BEAT } => {
                 acts.push(Action::Timer { at: now + BEAT_EVERY, token: BEAT });
                 self.gaps.iter_mut().for_each(|gaps| gaps.measure(now));
@@ -587,7 +581,10 @@
         acts.push(Action::Timer { at: now + age.max(300_000_000), token });
         // What has not started is taken elsewhere if it can start there with half its room to spare. Guards
         // against txns taken back from a queue only to be given up.
-        let moves = stage != Answered && effect != OnceOnly && self.says("withdraw.allowed") > 0.0;
+        let moves = worker.alive < posting.at
+            && stage != Answered
+            && effect != OnceOnly
+            && self.says("withdraw.allowed") > 0.0;
         if moves && posting.started.is_none() && posted < self.most_postings {
             // Chosen as if the withdrawal had ended already: from then on the posting may have run.
             self.txns[key].doubt = doubt.or(Some((posting.worker, posting.at)));
--- a/src/types.rs
+++ b/src/types.rs
@@ -90,7 +90,6 @@
     StreamBegun { txn: TxnId },
     Ended(Ended),
     Lapsed { txn: TxnId },
-    Probed { worker: WorkerId, outcome: Outcome, latency: Nanos, report: Report },
     Due { token: u64 },
 }
 
@@ -100,7 +99,6 @@
     Withdraw { txn: TxnId, leg: u8 },
     Decline { txn: TxnId, come_back: Nanos },
     Reverse { txn: TxnId },
-    Probe { worker: WorkerId },
     Follow,
     Timer { at: Nanos, token: u64 },
     Say(String),
