--- a/crates/wirehost/src/main.rs
+++ b/crates/wirehost/src/main.rs
@@ -1,5 +1,7 @@
 //! Hosts many dispatchers on one wire. Decides nothing: bytes in, events on, actions out.
 mod codec;
+#[cfg(test)]
+mod tests;
 mod translate;
 
 use codec::{Fault, Fields, Reply};
--- /dev/null
+++ b/crates/wirehost/src/tests.rs
@@ -0,0 +1,70 @@
+use super::*;
+use test_case::test_case;
+
+const SETTINGS: &str = "Bounds.Cancel=true\nBounds.MaxPostings=3\nBounds.MaxRetryAfterNs=2000000000\n\
+    Bounds.RetryAfter=true\nContract.ColdFrom=0.14\nContract.ColdNs=24000000000\nContract.FallMultiple=4.0\n\
+    Contract.FallNs=2000000000\nFamilyInfo.ClassStretch=2.0\nFamilyInfo.ReportX0=free_slots\n\
+    FamilyInfo.TellsStart=true\nRegistryMode=on_request\nReport.Fields=load_share,x0\nSchemes.count=1\n\
+    Schemes.0.Group=all\nSchemes.0.Idempotency=once\nSchemes.0.SlaTimeNs=250000000\nSchemes.0.Value=8.0\n\
+    Schemes.0.WindowNs=5000000000\nSiblings=4\nSomething.New=1\n";
+
+fn record(code: u8, fields: &[u8]) -> Vec<u8> {
+    [&[code][..], &(fields.len() as u32).to_le_bytes(), fields].concat()
+}
+
+fn create(settings: &str) -> Vec<u8> {
+    let length = (settings.len() as u32).to_le_bytes();
+    record(1, &[&7_u64.to_le_bytes()[..], &length, settings.as_bytes()].concat())
+}
+
+fn answer(records: &[Vec<u8>]) -> Result<Vec<u8>, Fault> {
+    let count = (records.len() as u32).to_le_bytes();
+    let bytes = [&5_u64.to_le_bytes()[..], &count, &records.concat()].concat();
+    let (mut reply, mut out) = (Reply::new(), Vec::new());
+    Host::default().batch(&bytes, &mut reply)?;
+    reply.write(&mut out)?;
+    Ok(out)
+}
+
+fn on(instance: u32) -> Vec<u8> {
+    record(12, &instance.to_le_bytes())
+}
+
+#[test]
+fn an_empty_batch_has_an_empty_reply() {
+    assert_eq!(answer(&[]), Ok(vec![0; 8]));
+}
+
+#[test]
+fn unknown_records_and_settings_are_skipped() {
+    assert_eq!(answer(&[record(99, &[1, 2, 3]), on(3), create(SETTINGS)]), Ok(vec![0; 8]));
+}
+
+#[test]
+fn an_instance_may_start_again_in_the_batch_of_its_stop() {
+    let list = record(2, &[&[0; 8][..], &[2], &[0; 4]].concat());
+    let out = answer(&[on(3), create(SETTINGS), record(10, &[]), create(SETTINGS), list]).unwrap();
+    // Context, the beat's timer and the call for the list.
+    assert_eq!((out[0], out[8], out[17], out[38]), (3, 77, 74, 66));
+}
+
+#[test_case(vec![record(7, &[0; 8])] => "an event before any instance was named"; "no instance")]
+#[test_case(vec![on(3), record(7, &[0; 8])] => "an event for instance 3, which does not run"; "not started")]
+#[test_case(vec![on(3), record(7, &[0; 3])]
+    => "record of code 7: a field of 8 bytes overruns its end by 5"; "short field")]
+#[test_case(vec![vec![7, 255, 0, 0, 0]]
+    => "record of code 7: a field of 255 bytes overruns its end by 255"; "record too long")]
+#[test_case(vec![on(3), create("")] => "setting scheme.count is missing"; "no settings")]
+#[test_case(vec![on(3), create(&SETTINGS.replace("=4.0", "=four"))]
+    => "setting fall.multiple cannot be read: \"four\""; "unreadable setting")]
+fn malformed(records: Vec<Vec<u8>>) -> String {
+    answer(&records).unwrap_err()
+}
+
+#[test_case(&[] => Ok(false); "end between frames")]
+#[test_case(&[1, 0] => Err("input ended inside a frame's length".into()); "end in the length")]
+#[test_case(&[4, 0, 0, 0, 1] => Err("input ended inside a frame: 1 of 4 bytes".into()); "end in a frame")]
+#[test_case(&[1, 0, 0, 0, 1] => Ok(true); "a whole frame")]
+fn reading(mut bytes: &[u8]) -> Result<bool, Fault> {
+    codec::read_batch(&mut bytes, &mut Vec::new())
+}
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -1,6 +1,57 @@
 use super::*;
 use test_case::test_case;
 
+const MS: Nanos = 1_000_000;
+const SETTINGS: &str = "dispatchers=2 posting.most=4 come_back.allowed=true come_back.most=2000000000 \
+    withdraw.allowed=true tells_start=true cold.from=0.2 cold.time=10e9 fall.multiple=3 fall.window=1e9 \
+    report.fields=inflight,free-slots list.mode=asked scheme.count=3 \
+    scheme.0.effect=repeatable scheme.0.group=all scheme.0.window=0 scheme.0.sla=3e8 scheme.0.value=1 \
+    scheme.1.effect=referenced scheme.1.group=cell scheme.1.window=400000000 scheme.1.sla=3e8 scheme.1.value=5 \
+    scheme.2.effect=once-only scheme.2.group=all scheme.2.window=0 scheme.2.sla=3e8 scheme.2.value=9 \
+    scheme.0.stretch=2 scheme.1.stretch=2 scheme.2.stretch=2";
+
+fn settings() -> Map {
+    let pair = |word: &str| word.split_once('=').map(|(name, value)| (name.to_string(), value.to_string()));
+    SETTINGS.split_whitespace().filter_map(pair).collect()
+}
+
+fn id(n: u8) -> WorkerId {
+    WorkerId { addr: [10, 0, 0, n], port: 9 }
+}
+
+fn entry(n: u8, standing: Standing, started: Nanos) -> Listed {
+    Listed { worker: id(n), standing, zone: 0, kind: 0, size: 2.0, started, group: u16::from(n % 2) }
+}
+
+/// A dispatcher that has heard of so many workers, all warm.
+fn dispatcher(workers: u8) -> Dispatcher {
+    let mut d = Dispatcher::start(0, 7, &settings()).unwrap();
+    let entries = (0..workers).map(|n| entry(n, Standing::Ready, 0)).collect();
+    d.handle(0, Event::List { scope: Scope::Kept, entries }, &mut Vec::new());
+    d
+}
+
+fn txn(id: TxnId, scheme: u8, hint: Nanos, now: Nanos) -> Txn {
+    Txn { id, scheme, party: 0, hint: Some(hint), slots: 1.0, memory: 0.5, expiry: now + 5_000 * MS }
+}
+
+fn handle(d: &mut Dispatcher, now: Nanos, event: Event) -> Vec<Action> {
+    let mut acts = Vec::new();
+    d.handle(now, event, &mut acts);
+    acts.retain(|act| !matches!(act, Action::Timer { .. }));
+    acts
+}
+
+fn end(txn: TxnId, leg: u8, outcome: Outcome) -> Event {
+    Event::Ended(Ended {
+        txn,
+        leg,
+        outcome,
+        complete: outcome == Outcome::Settled,
+        report: Report::default(),
+    })
+}
+
 #[test_case(4, 0.1 => vec![-100, -17, 33, 83]; "the source's example")]
 #[test_case(4, 0.2 => vec![-200, -33, 67, 167]; "twice the shift")]
 #[test_case(1, 0.4 => vec![0]; "one worker")]
@@ -8,3 +59,276 @@
 fn semi_geometric_shifts(n: usize, r: f64) -> Vec<i64> {
     shifts(n, r).iter().map(|p| (p * 1000.0).round() as i64).collect()
 }
+
+#[test_case(0.0, 0.0 => (0.0, 0.4, 0.0); "neither")]
+#[test_case(0.3, 0.0 => (0.4, 0.4, 0.0); "low only")]
+#[test_case(0.2, 0.3 => (0.4, 0.0, 0.2); "high more")]
+#[test_case(0.3, 0.3 => (0.4, 0.4, 0.0); "alike")]
+fn corrections_by_autocorrelation(low: f64, high: f64) -> (f64, f64, f64) {
+    corrections(low, high)
+}
+
+#[test_case(&[1.0, 1.0], &[(10, 100.0), (20, 100.0)] => vec![true]; "between two sizes")]
+#[test_case(&[1.0, 1.0, 2.0], &[(10, 100.0)] => vec![true, true]; "inside one bin")]
+#[test_case(&[1.0, 1.0], &[] => vec![true]; "empty")]
+fn cuts_give_each_lane_its_part(targets: &[f64], filled: &[(usize, f64)]) -> Vec<bool> {
+    let mut bins = [0.0; BINS];
+    filled.iter().for_each(|(bin, work)| bins[*bin] = *work);
+    let (total, parts) = (bins.iter().sum::<f64>(), targets.iter().sum::<f64>());
+    let mut wanted = 0.0;
+    let check = |(cut, target): (&f64, &f64)| {
+        wanted += target / parts * total;
+        (below(&bins, *cut) - wanted).abs() < 1e-6
+    };
+    cut(&bins, targets).iter().zip(targets).map(check).collect()
+}
+
+#[test]
+fn a_class_keeps_its_work_over_the_shifted_lanes() {
+    let mut bins = [0.0; BINS];
+    (8..40).for_each(|bin| bins[bin] = 10.0);
+    let cuts = cut(&bins, &[1.0; 4]);
+    let moved = recut_class(&bins, &cuts, &shifts(4, 0.4));
+    let first = below(&bins, moved[0]) / below(&bins, cuts[0]);
+    assert!((first - 0.6).abs() < 1e-6 && moved.windows(2).all(|pair| pair[0] < pair[1]));
+}
+
+#[test_case(60, 4 => false; "too few gaps keep the last estimate")]
+#[test_case(300, 4 => true; "bursts of four are correlated")]
+#[test_case(300, 1 => false; "alternating gaps are not")]
+fn autocorrelation(arrivals: u64, run: u64) -> bool {
+    let (mut gaps, mut now) = (Gaps::default(), 0);
+    for n in 0..arrivals {
+        now += if (n / run).is_multiple_of(2) { 10 * MS } else { 90 * MS };
+        gaps.arrival(now);
+    }
+    gaps.measure(now);
+    gaps.estimate > 0.1
+}
+
+#[test_case(Out, Input::NotRun, OnceOnly => (Held, Step::Place); "once only proven not run")]
+#[test_case(Out, Input::MayHaveRun, OnceOnly => (Answered, Step::Reverse); "once only may have run")]
+#[test_case(Out, Input::MayHaveRun, Repeatable => (Held, Step::Place); "repeatable runs again")]
+#[test_case(Out, Input::MayHaveRun, Referenced => (Doubted, Step::Place); "referenced in its group")]
+#[test_case(Again, Input::NotRun, Referenced => (Doubted, Step::Place); "doubt stays")]
+#[test_case(Held, Input::GivenUp, OnceOnly => (Answered, Step::Decline); "nothing out may be declined")]
+#[test_case(Doubted, Input::GivenUp, Referenced => (Answered, Step::Reverse); "doubted is reversed")]
+#[test_case(Out, Input::GivenUp, Repeatable => (Answered, Step::Reverse); "expiry with a posting out")]
+#[test_case(Answered, Input::Settled, Repeatable => (Answered, Step::Nothing); "second outcome")]
+#[test_case(Answered, Input::MayHaveRun, OnceOnly => (Answered, Step::Nothing); "late outcome")]
+#[test_case(Answered, Input::Left, Referenced => (Answered, Step::Nothing); "lapsed after its end")]
+fn table(stage: Stage, input: Input, effect: Effect) -> (Stage, Step) {
+    next(stage, input, effect)
+}
+
+#[test_case(Standing::Draining; "draining")]
+#[test_case(Standing::Gone; "gone")]
+fn nothing_new_to_a_worker_that_leaves(standing: Standing) {
+    let mut d = dispatcher(2);
+    handle(&mut d, MS, Event::List { scope: Scope::Changes, entries: vec![entry(0, standing, 0)] });
+    for n in 0..20 {
+        let acts = handle(&mut d, 2 * MS, Event::Arrived(txn(n, 0, 10 * MS, 0)));
+        assert!(acts.iter().all(|act| !matches!(act, Action::Post { worker, .. } if *worker == id(0))));
+    }
+}
+
+#[test]
+fn a_whole_list_names_all_there_are() {
+    let mut d = dispatcher(2);
+    handle(&mut d, MS, Event::List { scope: Scope::Whole, entries: vec![entry(1, Standing::Ready, 0)] });
+    assert_eq!(d.workers[0].standing, Standing::Gone);
+}
+
+#[test]
+fn a_failed_call_is_made_again_later() {
+    let mut d = dispatcher(1);
+    let failed = || Event::List { scope: Scope::Failed, entries: Vec::new() };
+    assert!(handle(&mut d, MS, failed()).is_empty());
+    assert_eq!(handle(&mut d, 1_000 * MS, Event::Due { token: BEAT }), vec![Action::Follow]);
+    assert!(handle(&mut d, 2_000 * MS, Event::Due { token: BEAT }).is_empty());
+}
+
+#[test_case(0 => 20; "a warm worker takes all")]
+#[test_case(1_000 => 5; "a cold one what its part of the budget holds")]
+fn budget_of_a_cold_worker(started: Nanos) -> usize {
+    let mut d = dispatcher(0);
+    d.schemes[0].sla = 4.5 * SECOND;
+    let entries = vec![entry(0, Standing::Ready, started * MS)];
+    handle(&mut d, 1_000 * MS, Event::List { scope: Scope::Changes, entries });
+    let posts = (0..20).map(|n| handle(&mut d, 1_000 * MS, Event::Arrived(txn(n, 0, 40 * MS, 1_000 * MS))));
+    posts.flatten().filter(|act| matches!(act, Action::Post { .. })).count()
+}
+
+#[test]
+fn no_worker_declines_only_when_it_can_no_longer_be_in_time() {
+    let mut d = dispatcher(0);
+    assert!(handle(&mut d, 0, Event::Arrived(txn(1, 2, 100 * MS, 0))).is_empty());
+    let acts = handle(&mut d, 450 * MS, Event::Due { token: 1 });
+    assert!(matches!(acts[..], [Action::Decline { txn: 1, .. }]));
+}
+
+#[test]
+fn unseen_queues_are_taken_as_long_as_the_fleets() {
+    let mut worker = Worker { seats: 2.0, lag: 0.0, lag_at: 0, ..Worker::default() };
+    assert!(worker.wait(10_000 * MS, 1.0, 0.0, (SECOND, 0.0)) > 0.9 * SECOND);
+    (worker.others, worker.others_at) = (0.0, 0);
+    assert!(worker.wait(10_000 * MS, 1.0, SECOND, (0.0, 4.0)) > SECOND);
+}
+
+#[test_case(0.5, 2 => true; "room to spare")]
+#[test_case(1.3, 2 => false; "would come late")]
+#[test_case(1.24, 0 => false; "cheap ones go first")]
+fn turned_away(strain: f64, scheme: u8) -> bool {
+    let mut d = dispatcher(1);
+    let key = d.txns.insert(InHand::new(txn(1, scheme, MS, 0), Repeatable, 1.0, 1.0, 1.0, 0));
+    d.kept(key, strain)
+}
+
+#[test_case(false => 1; "a silent worker loses it")]
+#[test_case(true => 0; "a busy worker keeps it")]
+fn withdrawn_when_not_started(alive: bool) -> usize {
+    let mut d = dispatcher(3);
+    let acts = handle(&mut d, 0, Event::Arrived(txn(1, 0, 400 * MS, 0)));
+    let [Action::Post { worker, .. }] = acts[..] else { panic!("{acts:?}") };
+    let at = d.known[&worker];
+    d.workers[at].alive = if alive { 200 * MS } else { 0 };
+    let token = 1;
+    d.txns[d.held[&1]].legs[0].at = MS;
+    handle(&mut d, 400 * MS, Event::Due { token }).len()
+}
+
+#[test]
+fn late_reports_do_not_add_seats() {
+    let mut d = dispatcher(1);
+    (0..4).for_each(|n| drop(handle(&mut d, 0, Event::Arrived(txn(n, 0, 100 * MS, 0)))));
+    let report = Report { count: 2, values: [0.0, 2.0, 0.0, 0.0] };
+    d.read_report(MS, 0, report);
+    assert_eq!(d.workers[0].seats, 2.0);
+}
+
+#[test]
+fn distrust_of_all_is_distrust_of_none() {
+    let mut d = dispatcher(3);
+    d.workers.iter_mut().for_each(|worker| worker.blame(0, 0.8));
+    d.tally(0);
+    assert!(d.workers.iter().all(|worker| worker.doubt == 0.0));
+    d.workers[1].blame(0, 0.9);
+    d.tally(0);
+    assert!(d.workers[1].doubt > 0.1 && d.workers[0].doubt == 0.0);
+}
+
+/// What a long sequence remembers of one txn, to hold the rules against.
+#[derive(Default)]
+struct Record {
+    scheme: u8,
+    expiry: Nanos,
+    answers: usize,
+    out: Vec<(u8, usize)>,
+    sent: u8,
+    first_doubt: Option<(usize, Nanos)>,
+    at: Vec<(usize, Nanos)>,
+}
+
+/// Legal events in random order; every action is held against the four rules.
+#[test_case(1)]
+#[test_case(2)]
+#[test_case(3)]
+fn the_four_rules_hold(seed: u64) {
+    let (mut d, mut dice, mut acts) = (dispatcher(6), Pcg::new(seed), Vec::new());
+    let (mut standing, mut started) = ([Standing::Ready; 6], [0; 6]);
+    let mut timers: Vec<(Nanos, u64)> = Vec::new();
+    let mut txns: BTreeMap<TxnId, Record> = BTreeMap::new();
+    let mut cold: Vec<(usize, Nanos, f64)> = Vec::new();
+    for step in 1..6_000_u32 {
+        let now = u64::from(step) * 10 * MS;
+        let mut events = Vec::new();
+        if dice.unit() < 0.02 {
+            let n = (dice.unit() * 6.0) as usize;
+            standing[n] = [Standing::Ready, Standing::Draining, Standing::Gone][(dice.unit() * 3.0) as usize];
+            started[n] = if standing[n] == Standing::Ready { now } else { started[n] };
+            let entries = vec![entry(n as u8, standing[n], started[n])];
+            events.push(Event::List { scope: Scope::Changes, entries });
+        }
+        for (id, record) in &mut txns {
+            let odds = dice.unit();
+            assert!(record.answers > 0 || now <= record.expiry + 10 * MS, "a txn without its answer");
+            if odds < 0.01 && record.answers == 0 && now < record.expiry {
+                record.answers += 1;
+                events.push(Event::Lapsed { txn: *id });
+            } else if let Some(&(leg, worker)) = record.out.first() {
+                let outcome = match odds {
+                    _ if record.answers == 0 && now >= record.expiry => Outcome::TimeOut,
+                    0.01..0.03 => Outcome::Settled,
+                    0.03..0.04 => Outcome::Full,
+                    0.04..0.05 => Outcome::NoConnection,
+                    0.05..0.06 => Outcome::Error,
+                    0.06..0.07 => Outcome::Broken,
+                    0.07..0.2 => {
+                        events.push(Event::Started { txn: *id, leg });
+                        continue;
+                    }
+                    _ => continue,
+                };
+                record.out.remove(0);
+                let complete = record.answers > 0 || outcome == Outcome::Settled;
+                record.answers += usize::from(complete && record.answers == 0);
+                if sorted(outcome) == Input::MayHaveRun {
+                    let at = record.at[usize::from(leg)].1;
+                    record.first_doubt.get_or_insert((worker, at));
+                }
+                let report = Report::default();
+                events.push(Event::Ended(Ended { txn: *id, leg, outcome, complete, report }));
+            }
+        }
+        if dice.unit() < 0.5 && step < 5_000 {
+            let scheme = (dice.unit() * 3.0) as u8;
+            let one = txn(step, scheme, (20.0 + dice.unit() * 400.0) as Nanos * MS, now);
+            txns.insert(step, Record { scheme, expiry: one.expiry, ..Record::default() });
+            events.push(Event::Arrived(one));
+        }
+        timers.retain(|(at, token)| *at > now || events.push(Event::Due { token: *token }) != ());
+        for event in events {
+            d.handle(now, event, &mut acts);
+            for act in acts.drain(..) {
+                match act {
+                    Action::Timer { at, token } => timers.push((at.max(now + 1), token)),
+                    Action::Post { txn, worker, .. } => {
+                        let n = usize::from(worker.addr[3]);
+                        let record = txns.get_mut(&txn).unwrap();
+                        assert!(record.answers == 0 && now < record.expiry, "posted after its answer");
+                        assert!(record.out.is_empty(), "two postings out");
+                        assert!(standing[n] == Standing::Ready, "posted to a worker that leaves");
+                        if let (1.., Some((first, since))) = (record.scheme, record.first_doubt) {
+                            assert!(record.scheme == 1, "an effect twice");
+                            assert!(first % 2 == n % 2 && now < since + 400 * MS, "outside group or window");
+                        }
+                        let work = d.txns[d.held[&txn]].work;
+                        cold.push((n, now, work));
+                        let age = (now - started[n]) as f64 / 10e9;
+                        let warmth = 0.2 + 0.8 * age;
+                        let recent = |(m, at, _): &&(usize, Nanos, f64)| {
+                            *m == n && *at + 1_000 * MS > now && *at >= started[n]
+                        };
+                        let sent: f64 = cold.iter().filter(recent).map(|(_, _, work)| work).sum();
+                        let part = 3.0 * d.workers[n].seats * SECOND / 2.0;
+                        assert!(started[n] == 0 || warmth > 1.0 || sent < part * warmth, "cold pushed over");
+                        record.out.push((record.sent, n));
+                        record.at.push((n, now));
+                        record.sent += 1;
+                    }
+                    Action::Decline { txn, .. } | Action::Reverse { txn } => {
+                        let record = txns.get_mut(&txn).unwrap();
+                        record.answers += 1;
+                        assert!(now <= record.expiry + 10 * MS, "answered late");
+                        let doubted = record.scheme > 0 && record.first_doubt.is_some();
+                        let declined = matches!(act, Action::Decline { .. });
+                        assert!(!(declined && (doubted || !record.out.is_empty())), "declined in doubt");
+                    }
+                    _ => {}
+                }
+            }
+        }
+    }
+    assert!(txns.values().all(|record| record.answers == 1), "a txn without its one answer");
+    assert!(d.txns.is_empty() && txns.values().any(|record| record.sent > 1));
+}
