--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -42,16 +42,6 @@
     acts
 }
 
-fn end(txn: TxnId, leg: u8, outcome: Outcome) -> Event {
-    Event::Ended(Ended {
-        txn,
-        leg,
-        outcome,
-        complete: outcome == Outcome::Settled,
-        report: Report::default(),
-    })
-}
-
 #[test_case(4, 0.1 => vec![-100, -17, 33, 83]; "the source's example")]
 #[test_case(4, 0.2 => vec![-200, -33, 67, 167]; "twice the shift")]
 #[test_case(1, 0.4 => vec![0]; "one worker")]
@@ -286,7 +276,8 @@
             txns.insert(step, Record { scheme, expiry: one.expiry, ..Record::default() });
             events.push(Event::Arrived(one));
         }
-        timers.retain(|(at, token)| *at > now || events.push(Event::Due { token: *token }) != ());
+        let due = timers.extract_if(.., |(at, _)| *at <= now);
+        events.extend(due.map(|(_, token)| Event::Due { token }));
         for event in events {
             d.handle(now, event, &mut acts);
             for act in acts.drain(..) {
