--- a/src/policy.rs
+++ b/src/policy.rs
@@ -458,9 +458,9 @@
             let wait = worker.wait(now, need, mean, fleet);
             let doubt = worker.doubt + if last == Some(at) { 0.5 } else { 0.0 };
             let strain = wait / room;
-            // Taken when there is a seat for it in this dispatcher's part, the worker is not distrusted,
-            // and no more than a quarter of the room before the SLA time goes in waiting.
-            if worker.out + need.min(worker.part) <= worker.part && doubt < 0.25 && strain < 0.25 {
+            // Taken when there is a seat for it in this dispatcher's part, the worker is not distrusted, and
+            // it would start about at once: a twentieth of the room before the SLA time is within error.
+            if worker.out + need.min(worker.part) <= worker.part && doubt < 0.25 && strain < 0.05 {
                 return Some((at, wait, strain));
             }
             let cost = strain + worker.ahead / worker.seats / room + doubt;
