--- a/src/policy.rs
+++ b/src/policy.rs
@@ -576,7 +576,7 @@
         if posting.started.is_some() {
             worker.blame(now, 0.15);
         } else if worker.alive < posting.at {
-            worker.blame(now, 0.5);
+            worker.blame(now, 0.8);
         }
         acts.push(Action::Timer { at: now + age.max(300_000_000), token });
         // What has not started is taken elsewhere if it can start there with half its room to spare. Guards
@@ -612,7 +612,7 @@
                 worker.clear(now, 0.2);
             }
             Outcome::Full => (worker.lag, worker.lag_at, worker.alive) = (0.5 * SECOND, now, now),
-            Outcome::Error => worker.blame(now, 0.3),
+            Outcome::Error => worker.blame(now, 0.5),
             Outcome::NoConnection | Outcome::Broken => worker.blame(now, 0.6),
             Outcome::TimeOut => worker.blame(now, 0.5),
             Outcome::Withdrawn | Outcome::Moot => {}
