--- a/src/policy.rs
+++ b/src/policy.rs
@@ -210,13 +210,13 @@
     following: bool,
     ask_at: Nanos,
     ask_failures: u32,
-    beating: bool,
     most_postings: usize,
     cut_at: Nanos,
     /// The start delay of late, over all workers.
     lag: f64,
     lag_at: Nanos,
     others: f64,
+    pressure: f64,
 }
 
 /// The settings without which nothing can be decided; a missing one ends the start.
@@ -244,7 +244,6 @@
             chance: Pcg::new(seed),
             schemes,
             most_postings: pick::<usize>(map, "posting.most")?.min(LEGS),
-            gaps: [Gaps { from: now, ..Gaps::default() }, Gaps { from: now, ..Gaps::default() }],
             report_fields: pick::<String>(map, "report.fields")?.split(',').map(String::from).collect(),
             figures,
             list_asked: pick::<String>(map, "list.mode")? == "asked",
@@ -254,10 +253,6 @@
     }
 
     pub fn handle(&mut self, now: Nanos, event: Event, acts: &mut Vec<Action>) {
-        if !self.beating {
-            self.beating = true;
-            acts.push(Action::Timer { at: now + BEAT_EVERY, token: BEAT });
-        }
         match event {
             Event::List { scope, entries } => self.list(now, scope, &entries, acts),
             Event::Arrived(txn) => self.arrived(now, txn, acts),
@@ -301,7 +296,8 @@
                 self.ask_at = now + (wait * (0.5 + self.chance.unit())) as Nanos;
                 return;
             }
-            Scope::Kept => {}
+            // The first event of every start.
+            Scope::Kept => acts.push(Action::Timer { at: now + BEAT_EVERY, token: BEAT }),
             Scope::Changes | Scope::Whole => (self.following, self.ask_failures) = (true, 0),
         }
         if scope != Scope::Changes {
@@ -509,13 +505,14 @@
         }
     }
 
-    /// Overload: from half its room gone in waiting a txn is turned away by chance, the cheaper ones more
-    /// often, and none is sent that would come late. Guards against a jam that keeps itself up: where
-    /// late txns are still sent, queues settle at a length at which all are late.
+    /// Overload: a txn with too little of its room left after waiting is turned away by chance, the cheaper
+    /// ones more often, and sooner the longer the strain lasts (the mean over some twenty txns). Guards
+    /// against a jam that keeps itself up: where late txns are sent, queues settle so that all are late.
     fn kept(&mut self, key: usize, strain: f64) -> bool {
         let value = self.schemes[usize::from(self.txns[key].txn.scheme)].value;
         let most = self.schemes.iter().map(|scheme| scheme.value).fold(0.0, f64::max);
-        let fits = (2.5 - 2.0 * strain).clamp(0.0, 1.0);
+        self.pressure += 0.05 * (strain.min(2.0) - self.pressure);
+        let fits = (3.5 - 2.0 * strain - 1.5 * self.pressure).clamp(0.0, 1.0);
         fits >= 1.0 || self.chance.unit() < fits.powf(most / value.max(1e-9))
     }
 
