--- a/src/policy.rs
+++ b/src/policy.rs
@@ -216,7 +216,7 @@
     lag: f64,
     lag_at: Nanos,
     others: f64,
-    pressure: f64,
+    late: f64,
 }
 
 /// The settings without which nothing can be decided; a missing one ends the start.
@@ -506,13 +506,12 @@
     }
 
     /// Overload: a txn with too little of its room left after waiting is turned away by chance, the cheaper
-    /// ones more often, and sooner the longer the strain lasts (the mean over some twenty txns). Guards
-    /// against a jam that keeps itself up: where late txns are sent, queues settle so that all are late.
+    /// ones more often, and sooner the more of the last twenty or so txns started too late. Guards against
+    /// a jam that keeps itself up, and, waits being guesses, against declines while all goes well.
     fn kept(&mut self, key: usize, strain: f64) -> bool {
         let value = self.schemes[usize::from(self.txns[key].txn.scheme)].value;
         let most = self.schemes.iter().map(|scheme| scheme.value).fold(0.0, f64::max);
-        self.pressure += 0.05 * (strain.min(2.0) - self.pressure);
-        let fits = (3.5 - 2.0 * strain - 1.5 * self.pressure).clamp(0.0, 1.0);
+        let fits = (4.0 - 2.0 * strain - 6.0 * self.late).clamp(0.0, 1.0);
         fits >= 1.0 || self.chance.unit() < fits.powf(most / value.max(1e-9))
     }
 
@@ -550,7 +549,10 @@
         (worker.lag, worker.lag_at) = (((now - posting.at) as f64 - posting.expected).max(0.0), now);
         // The fleet's delay is the mean of about the last ten starts.
         (self.lag, self.lag_at) = (self.lag + 0.1 * (worker.lag - self.lag), now);
-        let run = 2.0 * self.txns[key].run * worker.pace + 0.5 * SECOND;
+        let hand = &self.txns[key];
+        let late = now as f64 + hand.run * worker.pace > hand.due as f64;
+        self.late += 0.05 * (f64::from(late) - self.late);
+        let run = 2.0 * hand.run * worker.pace + 0.5 * SECOND;
         let (kind, running) = (worker.kind, (worker.out - worker.waiting).floor());
         self.seats(kind, running);
         let token = u64::from(txn) | u64::from(leg) << 32;
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -166,8 +166,8 @@
 }
 
 #[test_case(0.5, 2 => true; "room to spare")]
-#[test_case(1.8, 2 => false; "would come late")]
-#[test_case(1.6, 0 => false; "cheap ones go first")]
+#[test_case(2.1, 2 => false; "would come late")]
+#[test_case(1.99, 0 => false; "cheap ones go first")]
 fn turned_away(strain: f64, scheme: u8) -> bool {
     let mut d = dispatcher(1);
     let key = d.txns.insert(InHand::new(txn(1, scheme, MS, 0), Repeatable, 1.0, 1.0, 1.0, 0));
