--- a/src/policy.rs
+++ b/src/policy.rs
@@ -418,7 +418,6 @@
         let hand = &self.txns[key];
         let (work, run, due, doubt, effect) = (hand.work, hand.run, hand.due, hand.doubt, hand.effect);
         let need = hand.need;
-        let last = hand.posted.checked_sub(1).map(|leg| hand.legs[leg].worker);
         let scheme = &self.schemes[usize::from(hand.txn.scheme)];
         let (lanes, mean) = (&scheme.lanes, scheme.mean());
         // With under 8 jobs in the histogram it cannot be cut: the lane is drawn by chance.
@@ -452,7 +451,7 @@
             }
             let room = (due.saturating_sub(now) as f64 - run * worker.pace).max(1.0);
             let wait = worker.wait(now, need, mean, fleet);
-            let doubt = worker.doubt + if last == Some(at) { 0.5 } else { 0.0 };
+            let doubt = worker.doubt;
             let strain = wait / room;
             // Taken when there is a seat for it in this dispatcher's part, the worker is not distrusted, and
             // it would start about at once: a twentieth of the room before the SLA time is within error.
