--- a/src/policy.rs
+++ b/src/policy.rs
@@ -492,7 +492,7 @@
             return self.input(now, id, Input::GivenUp, acts);
         }
         match self.choose(now, key) {
-            Some((at, cost, strain)) if posted > 0 || self.kept(key, strain) => {
+            Some((at, cost, strain)) if posted > 0 || self.kept(now, key, strain) => {
                 self.post(now, key, at, cost, acts);
             }
             // Cold workers may soon take more: ask again shortly, as long as it can still be in time.
@@ -507,10 +507,12 @@
     /// Overload: a txn with too little of its room left after waiting is turned away by chance, the cheaper
     /// ones more often, and sooner the more of the last twenty or so txns started too late. Guards against
     /// a jam that keeps itself up, and, waits being guesses, against declines while all goes well.
-    fn kept(&mut self, key: usize, strain: f64) -> bool {
+    fn kept(&mut self, now: Nanos, key: usize, strain: f64) -> bool {
         let value = self.schemes[usize::from(self.txns[key].txn.scheme)].value;
         let most = self.schemes.iter().map(|scheme| scheme.value).fold(0.0, f64::max);
-        let fits = (4.0 - 2.0 * strain - 6.0 * self.late).clamp(0.0, 1.0);
+        // Forgotten within seconds if nothing starts. Guards against turning all away for ever.
+        let late = fade(self.late, self.lag_at, now, SECOND);
+        let fits = (4.0 - 2.0 * strain - 6.0 * late).clamp(0.0, 1.0);
         fits >= 1.0 || self.chance.unit() < fits.powf(most / value.max(1e-9))
     }
 
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -171,7 +171,7 @@
 fn turned_away(strain: f64, scheme: u8) -> bool {
     let mut d = dispatcher(1);
     let key = d.txns.insert(InHand::new(txn(1, scheme, MS, 0), Repeatable, 1.0, 1.0, 1.0, 0));
-    d.kept(key, strain)
+    d.kept(0, key, strain)
 }
 
 #[test_case(false => 1; "a silent worker loses it")]
