Let late starts scale the strain, so that free seats are always used

Cause, on three incidents: in a jam 65 to 95% were declined while workers stood idle; a large part of late starts closed the gate even at no strain.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -512,7 +512,7 @@
         let most = self.schemes.iter().map(|scheme| scheme.value).fold(0.0, f64::max);
         // Forgotten within seconds if nothing starts. Guards against turning all away for ever.
         let late = fade(self.late, self.lag_at, now, SECOND);
-        let fits = (4.0 - 2.0 * strain - 6.0 * late).clamp(0.0, 1.0);
+        let fits = (3.0 - 2.0 * strain * (1.0 + 3.0 * late)).clamp(0.0, 1.0);
         fits >= 1.0 || self.chance.unit() < fits.powf(most / value.max(1e-9))
     }
 
