--- a/src/policy.rs
+++ b/src/policy.rs
@@ -156,8 +156,6 @@
     if present(high) && high > low { (r, 0.0, 0.2) } else { (r, 0.4, 0.0) }
 }
 
-// ---- What is believed of a worker ----------------------------------------------------------------
-
 impl Worker {
     /// Distrust halves in 5 s: several times the time between postings to one worker at low traffic.
     fn distrust(&self, now: Nanos) -> f64 {
@@ -223,7 +221,7 @@
 const FIGURES: &str = "dispatchers come_back.allowed come_back.most withdraw.allowed tells_start \
     cold.from cold.time fall.multiple fall.window";
 
-/// The timer of the beat; all others carry a txn's id and leg.
+/// The timer of the beat, each second; all others carry a txn's id and leg.
 const BEAT: u64 = u64::MAX;
 const BEAT_EVERY: Nanos = 1_000_000_000;
 
@@ -280,8 +278,7 @@
 
     fn follow(&mut self, now: Nanos, acts: &mut Vec<Action>) {
         if self.list_asked && !self.following && now >= self.ask_at {
-            // One call at a time: the next is due only when this one has failed.
-            self.ask_at = Nanos::MAX;
+            self.ask_at = Nanos::MAX; // until this call has failed
             acts.push(Action::Follow);
         }
     }
@@ -389,8 +386,8 @@
         for worker in &mut self.workers {
             // Distrust above the fleet's mean: when all look bad at once, no one is worse than another.
             worker.doubt = (worker.distrust(now) - sum / f64::max(count, 1.0)).clamp(0.0, 0.95);
-            worker.part = (worker.seats / dispatchers).max(1.0);
-            (worker.out, worker.waiting, worker.ahead) = (0.0, 0.0, 0.0);
+            worker.part = (worker.seats.round() / dispatchers).max(1.0);
+            (worker.out, worker.running, worker.ahead) = (0.0, 0.0, 0.0);
         }
         for (_, hand) in &self.txns {
             for posting in hand.legs[..hand.posted].iter().filter(|posting| posting.out) {
@@ -399,8 +396,9 @@
                 worker.out += hand.need;
                 // A job past its hint has, as such sizes go, about a third of its age still to run.
                 worker.ahead += hand.need * (hand.run * worker.pace - age).max(0.3 * age);
-                if posting.started.is_none() {
-                    worker.waiting += hand.need;
+                if posting.started.is_some() {
+                    worker.running += f64::from(hand.txn.slots);
+                } else {
                     let delay = ((now - posting.at) as f64 - posting.expected).max(0.0);
                     if delay > fade(worker.lag, worker.lag_at, now, SECOND) {
                         (worker.lag, worker.lag_at) = (delay, now);
@@ -415,10 +413,8 @@
     fn choose(&mut self, now: Nanos, key: usize) -> Option<(usize, f64, f64)> {
         self.tally(now);
         let drawn = self.chance.unit();
-        let hand = &self.txns[key];
-        let (work, run, due, doubt, effect) = (hand.work, hand.run, hand.due, hand.doubt, hand.effect);
-        let need = hand.need;
-        let scheme = &self.schemes[usize::from(hand.txn.scheme)];
+        let InHand { txn, effect, work, run, need, due, doubt, .. } = self.txns[key];
+        let scheme = &self.schemes[usize::from(txn.scheme)];
         let (lanes, mean) = (&scheme.lanes, scheme.mean());
         // With under 8 jobs in the histogram it cannot be cut: the lane is drawn by chance.
         let mine = if scheme.cuts.len() + 1 != lanes.len() || scheme.seen < 8.0 {
@@ -508,12 +504,12 @@
     /// ones more often, and sooner the more of the last twenty or so txns started too late. Guards against
     /// a jam that keeps itself up, and, waits being guesses, against declines while all goes well.
     fn kept(&mut self, now: Nanos, key: usize, strain: f64) -> bool {
-        let value = self.schemes[usize::from(self.txns[key].txn.scheme)].value;
+        let value = self.schemes[usize::from(self.txns[key].txn.scheme)].value.max(1e-9);
         let most = self.schemes.iter().map(|scheme| scheme.value).fold(0.0, f64::max);
         // Forgotten within seconds if nothing starts. Guards against turning all away for ever.
         let late = fade(self.late, self.lag_at, now, SECOND);
         let fits = (3.0 - 2.0 * strain * (1.0 + 3.0 * late)).clamp(0.0, 1.0);
-        fits >= 1.0 || self.chance.unit() < fits.powf(most / value.max(1e-9))
+        fits >= 1.0 || self.chance.unit() < fits.powf(most / value)
     }
 
     fn post(&mut self, now: Nanos, key: usize, at: usize, cost: f64, acts: &mut Vec<Action>) {
@@ -554,7 +550,7 @@
         let late = now as f64 + hand.run * worker.pace > hand.due as f64;
         self.late += 0.05 * (f64::from(late) - self.late);
         let run = 2.0 * hand.run * worker.pace + 0.5 * SECOND;
-        let (kind, running) = (worker.kind, (worker.out - worker.waiting).floor());
+        let (kind, running) = (worker.kind, worker.running);
         self.seats(kind, running);
         let token = u64::from(txn) | u64::from(leg) << 32;
         acts.push(Action::Timer { at: now + run as Nanos, token });
@@ -619,8 +615,8 @@
         }
         let input = if complete { Input::Settled } else { sorted(outcome) };
         let hand = &mut self.txns[key];
-        if input == Input::MayHaveRun && hand.doubt.is_none() && hand.effect == Referenced {
-            hand.doubt = Some((posting.worker, posting.at));
+        if input == Input::MayHaveRun {
+            hand.doubt.get_or_insert((posting.worker, posting.at));
         }
         self.input(now, txn, input, acts);
     }
@@ -644,11 +640,13 @@
         self.tally(now);
         // Reports are late: a lone dispatcher would take its own newest jobs for others'.
         let unseen = 1.0 - 1.0 / self.says("dispatchers").max(1.0);
-        if let Some(free) = free {
-            self.seats(self.workers[at].kind, free.round());
+        // Free slots come with noise, of which the most seen would be the worst: a fifth of the way each.
+        let (kind, seats) = (self.workers[at].kind, self.workers[at].seats);
+        if let Some(free) = free.filter(|free| *free > seats + 0.25) {
+            self.seats(kind, seats + 0.2 * (free - seats));
         }
         let worker = &mut self.workers[at];
-        let by_slots = free.map(|free| worker.seats - free - (worker.out - worker.waiting));
+        let by_slots = free.map(|free| worker.seats - free - worker.running);
         worker.others = inflight.map(|all| all - worker.out).or(by_slots).unwrap_or(0.0).max(0.0);
         worker.others *= unseen;
         worker.others_at = now;
--- a/src/state.rs
+++ b/src/state.rs
@@ -113,9 +113,9 @@
     /// This dispatcher's part of what may still be sent while it is cold.
     pub budget: f64,
     pub budget_at: Nanos,
-    /// This dispatcher's postings out, those not started among them, and the running time they still need.
+    /// This dispatcher's seats taken by postings out, slots running among them, and the running time they still need.
     pub out: f64,
-    pub waiting: f64,
+    pub running: f64,
     pub ahead: f64,
     /// This dispatcher's part of its seats, at least one.
     pub part: f64,
