--- a/crates/wirehost/src/translate.rs
+++ b/crates/wirehost/src/translate.rs
@@ -114,13 +114,10 @@
     Ok(Event::Ended(Ended { txn, leg, outcome, complete, report: report(f)? }))
 }
 
+/// News of a posting; that it has started is all that is used.
 fn note(f: &mut Fields<'_>) -> Result<Option<Event>, Fault> {
-    let (txn, _worker, leg, share) = (f.u32()?, f.address()?, f.u8()?, f.f32()?);
-    Ok(match f.u8()? {
-        1 => Some(Event::Started { txn, leg }),
-        2 => Some(Event::Progress { txn, leg, share }),
-        _ => None,
-    })
+    let (txn, _worker, leg, _share) = (f.u32()?, f.address()?, f.u8()?, f.f32()?);
+    Ok((f.u8()? == 1).then_some(Event::Started { txn, leg }))
 }
 
 /// Wire path to our name, for single values.
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -255,17 +255,18 @@
             Event::List { scope, entries } => self.list(now, scope, &entries, acts),
             Event::Arrived(txn) => self.arrived(now, txn, acts),
             Event::Started { txn, leg } => self.started(now, txn, leg, acts),
-            Event::Progress { txn, leg, .. } => {
-                if let Some((_, posting)) = self.posting(txn, leg) {
-                    self.workers[posting.worker].alive = now;
-                }
-            }
             Event::StreamBegun { txn } | Event::Lapsed { txn } => self.input(now, txn, Input::Left, acts),
             Event::Ended(end) => self.ended(now, end, acts),
             Event::Due { token: BEAT } => {
                 acts.push(Action::Timer { at: now + BEAT_EVERY, token: BEAT });
                 self.gaps.iter_mut().for_each(|gaps| gaps.measure(now));
                 self.recut(now);
+                for w in
+                    self.workers.iter_mut().filter(|w| w.told != (w.doubt > if w.told { 0.1 } else { 0.5 }))
+                {
+                    w.told = !w.told;
+                    acts.push(Action::Say(format!("worker {}: distrusted {}", w.id, w.told)));
+                }
                 self.follow(now, acts);
             }
             Event::Due { token } => self.watch(now, token, acts),
@@ -607,11 +608,10 @@
                 }
                 worker.clear(now, 0.2);
             }
-            Outcome::Full => (worker.lag, worker.lag_at, worker.alive) = (0.5 * SECOND, now, now),
             Outcome::Error => worker.blame(now, 0.5),
             Outcome::NoConnection | Outcome::Broken => worker.blame(now, 0.6),
             Outcome::TimeOut => worker.blame(now, 0.5),
-            Outcome::Withdrawn | Outcome::Moot => {}
+            Outcome::Full | Outcome::Withdrawn | Outcome::Moot => {}
         }
         let input = if complete { Input::Settled } else { sorted(outcome) };
         let hand = &mut self.txns[key];
--- a/src/state.rs
+++ b/src/state.rs
@@ -119,8 +119,9 @@
     pub ahead: f64,
     /// This dispatcher's part of its seats, at least one.
     pub part: f64,
-    /// Distrust above the fleet's mean.
+    /// Distrust above the fleet's mean, and whether the log was told of it.
     pub doubt: f64,
+    pub told: bool,
 }
 
 /// Four bins an octave (`PARTS`, of like width) from 1 ms up reach 64 s; a bin is then narrower than a hint is exact.
--- a/src/types.rs
+++ b/src/types.rs
@@ -11,6 +11,12 @@
     pub port: u16,
 }
 
+impl std::fmt::Display for WorkerId {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{}:{}", std::net::Ipv4Addr::from(self.addr), self.port)
+    }
+}
+
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Standing {
     Ready,
@@ -86,7 +92,6 @@
     List { scope: Scope, entries: Vec<Listed> },
     Arrived(Txn),
     Started { txn: TxnId, leg: u8 },
-    Progress { txn: TxnId, leg: u8, share: f32 },
     StreamBegun { txn: TxnId },
     Ended(Ended),
     Lapsed { txn: TxnId },
