--- a/src/policy.rs
+++ b/src/policy.rs
@@ -294,8 +294,7 @@
                 self.ask_at = now + (wait * (0.5 + self.chance.unit())) as Nanos;
                 return;
             }
-            // The first event of every start.
-            Scope::Kept => acts.push(Action::Timer { at: now + BEAT_EVERY, token: BEAT }),
+            Scope::Kept => acts.push(Action::Timer { at: now + BEAT_EVERY, token: BEAT }), // the first event
             Scope::Changes | Scope::Whole => (self.following, self.ask_failures) = (true, 0),
         }
         if scope != Scope::Changes {
@@ -455,7 +454,8 @@
             if worker.out + need.min(worker.part) <= worker.part && doubt < 0.25 && strain < 0.05 {
                 return Some((at, wait, strain));
             }
-            let cost = strain + worker.ahead / worker.seats / room + doubt;
+            // Own jobs in flight, and their work, weigh again: what others see and do is alike.
+            let cost = strain + (worker.ahead / room + worker.out) / worker.seats + doubt;
             if cost < least {
                 (least, best) = (cost, Some((at, wait, strain)));
             }
