Tidy the module: say each formula once, and do cold and report work only where needed

One token, one delay and one part unseen where two or three stood; the cold budget is reckoned for cold workers only; report fields are found once at the start; a posting's time-out, always 0, left the interface.

--- a/crates/wirehost/src/translate.rs
+++ b/crates/wirehost/src/translate.rs
@@ -224,8 +224,9 @@
 
 pub fn outgoing(action: &Action, reply: &mut Reply) {
     match action {
-        Action::Post { txn, worker, within } => {
-            let (port, within) = (worker.port.to_le_bytes(), within.to_le_bytes());
+        Action::Post { txn, worker } => {
+            // No time-out of its own: until the client gives up.
+            let (port, within) = (worker.port.to_le_bytes(), 0_u64.to_le_bytes());
             reply.record(68, &[&txn.to_le_bytes(), &worker.addr, &port, &within]);
         }
         Action::Withdraw { txn, leg } => reply.record(72, &[&txn.to_le_bytes(), &[*leg]]),
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -4,7 +4,6 @@
 //! for each event in the order of arrival. The same calls always give the same actions. Times are
 //! nanoseconds on the caller's clock. The interface (events, actions, ids, outcomes) stands in
 //! `types.rs`; the names that the map may hold stand in `docs/design.md`.
-//!
 //! How to read it: `TABLE` says what may follow for a txn, `choose` picks its worker, `recut` draws the
 //! lanes by DIFFEQAL, `Worker` holds what is believed of a worker, and `handle` joins them.
 use crate::pcg::Pcg;
@@ -27,8 +26,6 @@
     value * (-(now.saturating_sub(since) as f64) / half).exp2()
 }
 
-// ---- What may follow for a txn -------------------------------------------------------------------
-
 const ALL: &[Effect] = &[Repeatable, Referenced, OnceOnly];
 
 /// States, input, for which effects, next state, effect. What is not listed changes nothing.
@@ -62,8 +59,6 @@
     }
 }
 
-// ---- The mechanism: lanes by DIFFEQAL ------------------------------------------------------------
-
 fn bin_of(work: f64) -> usize {
     let units = (work / FIRST_EDGE).max(1.0);
     let octave = (units as u64).ilog2() as usize;
@@ -190,7 +185,12 @@
     }
 }
 
-// ---- The dispatcher ------------------------------------------------------------------------------
+impl Posting {
+    /// How much longer it has waited, for a start now, than this dispatcher's own work explains.
+    fn delay(&self, now: Nanos) -> f64 {
+        ((now - self.at) as f64 - self.expected).max(0.0)
+    }
+}
 
 #[derive(Default)]
 pub struct Dispatcher {
@@ -201,7 +201,8 @@
     txns: Slab<InHand>,
     held: FxHashMap<TxnId, usize>,
     gaps: [Gaps; 2],
-    report_fields: Vec<String>,
+    /// Where a report has its free slots and its jobs in flight.
+    report_at: [Option<usize>; 2],
     /// The settings that are numbers, or yes (1) and no (0).
     figures: BTreeMap<&'static str, f64>,
     list_asked: bool,
@@ -209,6 +210,9 @@
     ask_at: Nanos,
     ask_failures: u32,
     most_postings: usize,
+    /// How many there are, and the part that this one does not see: a lone one knows all that waits.
+    dispatchers: f64,
+    unseen: f64,
     cut_at: Nanos,
     /// The start delay of late, over all workers.
     lag: f64,
@@ -218,13 +222,17 @@
 }
 
 /// The settings without which nothing can be decided; a missing one ends the start.
-const FIGURES: &str = "dispatchers come_back.allowed come_back.most withdraw.allowed tells_start \
+const FIGURES: &str = "come_back.allowed come_back.most withdraw.allowed tells_start \
     cold.from cold.time fall.multiple fall.window";
 
 /// The timer of the beat, each second; all others carry a txn's id and leg.
 const BEAT: u64 = u64::MAX;
 const BEAT_EVERY: Nanos = 1_000_000_000;
 
+fn token(txn: TxnId, leg: usize) -> u64 {
+    u64::from(txn) | (leg as u64) << 32
+}
+
 impl Dispatcher {
     pub fn start(now: Nanos, seed: u64, map: &Map) -> Result<Self, String> {
         let count: usize = pick(map, "scheme.count")?;
@@ -238,11 +246,15 @@
             let number = || pick::<f64>(map, name);
             figures.insert(name, pick::<bool>(map, name).map(f64::from).or_else(|_| number())?);
         }
+        let fields: String = pick(map, "report.fields")?;
+        let dispatchers = pick::<f64>(map, "dispatchers")?.max(1.0);
         Ok(Dispatcher {
             chance: Pcg::new(seed),
             schemes,
+            dispatchers,
+            unseen: 1.0 - 1.0 / dispatchers,
             most_postings: pick::<usize>(map, "posting.most")?.min(LEGS),
-            report_fields: pick::<String>(map, "report.fields")?.split(',').map(String::from).collect(),
+            report_at: ["free-slots", "inflight"].map(|name| fields.split(',').position(|f| f == name)),
             figures,
             list_asked: pick::<String>(map, "list.mode")? == "asked",
             lag_at: now,
@@ -257,22 +269,22 @@
             Event::Started { txn, leg } => self.started(now, txn, leg, acts),
             Event::StreamBegun { txn } | Event::Lapsed { txn } => self.input(now, txn, Input::Left, acts),
             Event::Ended(end) => self.ended(now, end, acts),
-            Event::Due { token: BEAT } => {
-                acts.push(Action::Timer { at: now + BEAT_EVERY, token: BEAT });
-                self.gaps.iter_mut().for_each(|gaps| gaps.measure(now));
-                self.recut(now);
-                for w in
-                    self.workers.iter_mut().filter(|w| w.told != (w.doubt > if w.told { 0.1 } else { 0.5 }))
-                {
-                    w.told = !w.told;
-                    acts.push(Action::Say(format!("worker {}: distrusted {}", w.id, w.told)));
-                }
-                self.follow(now, acts);
-            }
+            Event::Due { token: BEAT } => self.beat(now, acts),
             Event::Due { token } => self.watch(now, token, acts),
         }
     }
 
+    fn beat(&mut self, now: Nanos, acts: &mut Vec<Action>) {
+        acts.push(Action::Timer { at: now + BEAT_EVERY, token: BEAT });
+        self.gaps.iter_mut().for_each(|gaps| gaps.measure(now));
+        self.recut(now);
+        for w in self.workers.iter_mut().filter(|w| w.told != (w.doubt > if w.told { 0.1 } else { 0.5 })) {
+            w.told = !w.told;
+            acts.push(Action::Say(format!("worker {}: distrusted {}", w.id, w.told)));
+        }
+        self.follow(now, acts);
+    }
+
     fn says(&self, name: &str) -> f64 {
         self.figures.get(name).copied().unwrap_or(0.0)
     }
@@ -336,7 +348,7 @@
         let unit = known.map(|w| w.seats / w.pace / w.size).fold(f64::INFINITY, f64::min);
         let capacity = unit * worker.size * self.warmth(worker, now);
         // Half as a store and half as a flow keep any window under the whole; 0.7 for what hints miss.
-        let rate = 0.7 * self.says("fall.multiple") * capacity / self.says("dispatchers").max(1.0) / 2.0;
+        let rate = 0.7 * self.says("fall.multiple") * capacity / self.dispatchers / 2.0;
         let gained = rate * now.saturating_sub(worker.budget_at) as f64;
         (worker.budget + gained).min(rate * self.says("fall.window"))
     }
@@ -380,13 +392,12 @@
 
     /// Brings up to date what follows from the postings out and from the clock.
     fn tally(&mut self, now: Nanos) {
-        let dispatchers = self.says("dispatchers").max(1.0);
         let ready = self.workers.iter().filter(|worker| worker.standing == Standing::Ready);
         let (sum, count) = ready.fold((0.0, 0.0), |(sum, n), worker| (sum + worker.distrust(now), n + 1.0));
         for worker in &mut self.workers {
             // Distrust above the fleet's mean: when all look bad at once, no one is worse than another.
             worker.doubt = (worker.distrust(now) - sum / f64::max(count, 1.0)).clamp(0.0, 0.95);
-            worker.part = (worker.seats.round() / dispatchers).max(1.0);
+            worker.part = (worker.seats.round() / self.dispatchers).max(1.0);
             (worker.out, worker.running, worker.ahead) = (0.0, 0.0, 0.0);
         }
         for (_, hand) in &self.txns {
@@ -399,7 +410,7 @@
                 if posting.started.is_some() {
                     worker.running += f64::from(hand.txn.slots);
                 } else {
-                    let delay = ((now - posting.at) as f64 - posting.expected).max(0.0);
+                    let delay = posting.delay(now);
                     if delay > fade(worker.lag, worker.lag_at, now, SECOND) {
                         (worker.lag, worker.lag_at) = (delay, now);
                     }
@@ -422,9 +433,7 @@
         } else {
             scheme.cuts.partition_point(|cut| *cut <= work)
         };
-        // A lone dispatcher knows all that waits; of several, each sees its part.
-        let unseen = 1.0 - 1.0 / self.says("dispatchers").max(1.0);
-        let fleet = (unseen * fade(self.lag, self.lag_at, now, SECOND), self.others);
+        let fleet = (self.unseen * fade(self.lag, self.lag_at, now, SECOND), self.others);
         let (mut least, mut best) = (f64::INFINITY, None);
         for step in 0..2 * lanes.len() {
             let far = step.div_ceil(2);
@@ -447,15 +456,14 @@
             }
             let room = (due.saturating_sub(now) as f64 - run * worker.pace).max(1.0);
             let wait = worker.wait(now, need, mean, fleet);
-            let doubt = worker.doubt;
             let strain = wait / room;
             // Taken when there is a seat for it in this dispatcher's part, the worker is not distrusted, and
             // it would start about at once: a twentieth of the room before the SLA time is within error.
-            if worker.out + need.min(worker.part) <= worker.part && doubt < 0.25 && strain < 0.05 {
+            if worker.out + need.min(worker.part) <= worker.part && worker.doubt < 0.25 && strain < 0.05 {
                 return Some((at, wait, strain));
             }
             // Own jobs in flight, and their work, weigh again: what others see and do is alike.
-            let cost = strain + (worker.ahead / room + worker.out) / worker.seats + doubt;
+            let cost = strain + (worker.ahead / room + worker.out) / worker.seats + worker.doubt;
             if cost < least {
                 (least, best) = (cost, Some((at, wait, strain)));
             }
@@ -494,8 +502,7 @@
             }
             // Cold workers may soon take more: ask again shortly, as long as it can still be in time.
             None if now + (run as Nanos) < due => {
-                let token = u64::from(id) | (posted as u64) << 32;
-                acts.push(Action::Timer { at: now + 25_000_000, token });
+                acts.push(Action::Timer { at: now + 25_000_000, token: token(id, posted) });
             }
             _ => self.input(now, id, Input::GivenUp, acts),
         }
@@ -515,16 +522,17 @@
 
     fn post(&mut self, now: Nanos, key: usize, at: usize, cost: f64, acts: &mut Vec<Action>) {
         let tells_start = self.says("tells_start") > 0.0;
-        let left = self.budget(&self.workers[at], now);
+        let chosen = &self.workers[at];
+        let left = if self.warmth(chosen, now) < 1.0 { self.budget(chosen, now) } else { 0.0 };
         let hand = &mut self.txns[key];
         let worker = &mut self.workers[at];
         (worker.budget, worker.budget_at) = (left - hand.work, now);
         let expected = worker.queue(hand.need, 0.0, 0.0);
         hand.legs[hand.posted] = Posting { worker: at, at: now, expected, started: None, out: true };
-        let token = u64::from(hand.txn.id) | (hand.posted as u64) << 32;
+        let token = token(hand.txn.id, hand.posted);
         hand.posted += 1;
         hand.stage = next(hand.stage, Input::Posted, hand.effect).0;
-        acts.push(Action::Post { txn: hand.txn.id, worker: worker.id, within: 0 });
+        acts.push(Action::Post { txn: hand.txn.id, worker: worker.id });
         // Overdue: a start later than expected by 300 ms, or without start notes by twice the run.
         let run = if tells_start { 0.0 } else { 2.0 * hand.run * worker.pace };
         let at = now + (cost.min(2.0 * SECOND) * 1.5 + run + 0.3 * SECOND) as Nanos;
@@ -544,7 +552,7 @@
         self.tally(now);
         let worker = &mut self.workers[posting.worker];
         worker.clear(now, 0.1);
-        (worker.lag, worker.lag_at) = (((now - posting.at) as f64 - posting.expected).max(0.0), now);
+        (worker.lag, worker.lag_at) = (posting.delay(now), now);
         // The fleet's delay is the mean of about the last ten starts.
         (self.lag, self.lag_at) = (self.lag + 0.1 * (worker.lag - self.lag), now);
         let hand = &self.txns[key];
@@ -553,8 +561,7 @@
         let run = 2.0 * hand.run * worker.pace + 0.5 * SECOND;
         let (kind, running) = (worker.kind, worker.running);
         self.seats(kind, running);
-        let token = u64::from(txn) | u64::from(leg) << 32;
-        acts.push(Action::Timer { at: now + run as Nanos, token });
+        acts.push(Action::Timer { at: now + run as Nanos, token: token(txn, usize::from(leg)) });
     }
 
     /// A timer of one txn: it is still held, or a posting is overdue.
@@ -569,20 +576,18 @@
         let (stage, effect, doubt, posted) = (hand.stage, hand.effect, hand.doubt, hand.posted);
         let worker = &mut self.workers[posting.worker];
         // A worker that has shown life since is only busy; one that has not may be hung.
+        let silent = posting.started.is_none() && worker.alive < posting.at;
         let age = now - posting.started.unwrap_or(posting.at);
         if posting.started.is_some() {
             worker.blame(now, 0.15);
-        } else if worker.alive < posting.at {
+        } else if silent {
             worker.blame(now, 0.8);
         }
         acts.push(Action::Timer { at: now + age.max(300_000_000), token });
         // What has not started is taken elsewhere if it can start there with half its room to spare. Guards
         // against txns taken back from a queue only to be given up.
-        let moves = worker.alive < posting.at
-            && stage != Answered
-            && effect != OnceOnly
-            && self.says("withdraw.allowed") > 0.0;
-        if moves && posting.started.is_none() && posted < self.most_postings {
+        let moves = silent && stage != Answered && effect != OnceOnly && posted < self.most_postings;
+        if moves && self.says("withdraw.allowed") > 0.0 {
             // Chosen as if the withdrawal had ended already: from then on the posting may have run.
             self.txns[key].doubt = doubt.or(Some((posting.worker, posting.at)));
             if self.choose(now, key).is_some_and(|(at, _, strain)| at != posting.worker && strain < 0.5) {
@@ -608,9 +613,8 @@
                 }
                 worker.clear(now, 0.2);
             }
-            Outcome::Error => worker.blame(now, 0.5),
+            Outcome::Error | Outcome::TimeOut => worker.blame(now, 0.5),
             Outcome::NoConnection | Outcome::Broken => worker.blame(now, 0.6),
-            Outcome::TimeOut => worker.blame(now, 0.5),
             Outcome::Full | Outcome::Withdrawn | Outcome::Moot => {}
         }
         let input = if complete { Input::Settled } else { sorted(outcome) };
@@ -629,17 +633,12 @@
     }
 
     fn read_report(&mut self, now: Nanos, at: usize, report: Report) {
-        let value = |name: &str| {
-            let place = self.report_fields.iter().position(|field| field == name)?;
-            report.values[..report.count].get(place).map(|value| f64::from(*value))
-        };
-        let (free, inflight) = (value("free-slots"), value("inflight"));
+        let value = |at: Option<usize>| report.values[..report.count].get(at?).map(|value| f64::from(*value));
+        let [free, inflight] = self.report_at.map(value);
         if free.is_none() && inflight.is_none() {
             return;
         }
         self.tally(now);
-        // Reports are late: a lone dispatcher would take its own newest jobs for others'.
-        let unseen = 1.0 - 1.0 / self.says("dispatchers").max(1.0);
         // Free slots come with noise, of which the most seen would be the worst: a fifth of the way each.
         let (kind, seats) = (self.workers[at].kind, self.workers[at].seats);
         if let Some(free) = free.filter(|free| *free > seats + 0.25) {
@@ -648,7 +647,8 @@
         let worker = &mut self.workers[at];
         let by_slots = free.map(|free| worker.seats - free - worker.running);
         worker.others = inflight.map(|all| all - worker.out).or(by_slots).unwrap_or(0.0).max(0.0);
-        worker.others *= unseen;
+        // Reports are late: a lone dispatcher would take its own newest jobs for others'.
+        worker.others *= self.unseen;
         worker.others_at = now;
         self.others += 0.1 * (worker.others - self.others);
     }
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -153,7 +153,7 @@
 fn no_worker_declines_only_when_it_can_no_longer_be_in_time() {
     let mut d = dispatcher(0);
     assert!(handle(&mut d, 0, Event::Arrived(txn(1, 2, 100 * MS, 0))).is_empty());
-    let acts = handle(&mut d, 450 * MS, Event::Due { token: 1 });
+    let acts = handle(&mut d, 450 * MS, Event::Due { token: token(1, 0) });
     assert!(matches!(acts[..], [Action::Decline { txn: 1, .. }]));
 }
 
@@ -182,9 +182,8 @@
     let [Action::Post { worker, .. }] = acts[..] else { panic!("{acts:?}") };
     let at = d.known[&worker];
     d.workers[at].alive = if alive { 200 * MS } else { 0 };
-    let token = 1;
     d.txns[d.held[&1]].legs[0].at = MS;
-    handle(&mut d, 400 * MS, Event::Due { token }).len()
+    handle(&mut d, 400 * MS, Event::Due { token: token(1, 0) }).len()
 }
 
 #[test]
@@ -213,10 +212,9 @@
     scheme: u8,
     expiry: Nanos,
     answers: usize,
-    out: Vec<(u8, usize)>,
+    out: Vec<(u8, usize, Nanos)>,
     sent: u8,
     first_doubt: Option<(usize, Nanos)>,
-    at: Vec<(usize, Nanos)>,
 }
 
 /// Legal events in random order; every action is held against the four rules.
@@ -247,7 +245,7 @@
             if odds < 0.01 && record.answers == 0 && now < record.expiry {
                 record.answers += 1;
                 events.push(Event::Lapsed { txn: *id });
-            } else if let Some(&(leg, worker)) = record.out.first() {
+            } else if let Some(&(leg, worker, at)) = record.out.first() {
                 let outcome = match odds {
                     _ if record.answers == 0 && now >= record.expiry => Outcome::TimeOut,
                     0.01..0.03 => Outcome::Settled,
@@ -265,7 +263,6 @@
                 let complete = record.answers > 0 || outcome == Outcome::Settled;
                 record.answers += usize::from(complete && record.answers == 0);
                 if sorted(outcome) == Input::MayHaveRun {
-                    let at = record.at[usize::from(leg)].1;
                     record.first_doubt.get_or_insert((worker, at));
                 }
                 let report = Report::default();
@@ -307,8 +304,7 @@
                         let warmth = 0.2 + 0.8 * (now - started[n]) as f64 / 10e9;
                         let part = 3.0 * full * SECOND / 2.0 * warmth;
                         assert!(started[n] == 0 || warmth > 1.0 || sent < part, "cold pushed over");
-                        record.out.push((record.sent, n));
-                        record.at.push((n, now));
+                        record.out.push((record.sent, n, now));
                         record.sent += 1;
                     }
                     Action::Decline { txn, .. } | Action::Reverse { txn } => {
--- a/src/state.rs
+++ b/src/state.rs
@@ -11,6 +11,11 @@
     value.parse().map_err(|_| format!("setting {name} cannot be read: {value:?}"))
 }
 
+/// Reads one setting that may be left out.
+fn pick_or<T: FromStr>(map: &Map, name: &str, other: T) -> Result<T, String> {
+    if map.contains_key(name) { pick(map, name) } else { Ok(other) }
+}
+
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Effect {
     Repeatable,
@@ -96,7 +101,7 @@
     pub group: u16,
     pub size: f64,
     pub started: Nanos,
-    /// Most jobs known to have run on it at once.
+    /// Most slots its kind is known to run at once.
     pub seats: f64,
     /// Running time for one unit of hinted work.
     pub pace: f64,
@@ -113,7 +118,7 @@
     /// This dispatcher's part of what may still be sent while it is cold.
     pub budget: f64,
     pub budget_at: Nanos,
-    /// This dispatcher's seats taken by postings out, slots running among them, and the running time they still need.
+    /// Of this dispatcher's postings out: the seats they take, the slots running, the time they still need.
     pub out: f64,
     pub running: f64,
     pub ahead: f64,
@@ -124,7 +129,7 @@
     pub told: bool,
 }
 
-/// Four bins an octave (`PARTS`, of like width) from 1 ms up reach 64 s; a bin is then narrower than a hint is exact.
+/// Four bins an octave (`PARTS`, of like width) from 1 ms up reach 64 s: narrower than a hint is exact.
 pub const BINS: usize = 64;
 pub const PARTS: usize = 4;
 pub const FIRST_EDGE: f64 = 1e6;
@@ -159,9 +164,9 @@
             group: pick(map, &name("group"))?,
             window: pick(map, &name("window"))?,
             sla: pick(map, &name("sla"))?,
-            stretch: if map.contains_key(&name("stretch")) { pick(map, &name("stretch"))? } else { 0.0 },
+            stretch: pick_or(map, &name("stretch"), 0.0)?,
             value: pick(map, &name("value"))?,
-            kind: if map.contains_key(&name("kind")) { pick(map, &name("kind"))? } else { -1 },
+            kind: pick_or(map, &name("kind"), -1)?,
             high: false,
             bins: [0.0; BINS],
             seen: 0.0,
--- a/src/types.rs
+++ b/src/types.rs
@@ -100,7 +100,7 @@
 
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
-    Post { txn: TxnId, worker: WorkerId, within: Nanos },
+    Post { txn: TxnId, worker: WorkerId },
     Withdraw { txn: TxnId, leg: u8 },
     Decline { txn: TxnId, come_back: Nanos },
     Reverse { txn: TxnId },
