Cut lanes at each arrival with the txn inside; end taking back from silent workers

Cause: with hundreds of dispatchers each sees some tens of jobs, so a txn larger than all before fell on the last lane; and a worker not heard of counted as silent, was distrusted and had its txns sent twice, as no cancel stops work. Now the txn is itself in the histogram, which ages by jobs seen too; a posting is overdue later where the worker was not heard of; nothing is taken back. CPU: lists and beats alone pass over all workers.

--- a/crates/wirehost/src/translate.rs
+++ b/crates/wirehost/src/translate.rs
@@ -129,7 +129,6 @@
     ("BeyondShareValue", "beyond_share"),
     ("ValueBasis", "value.by"),
     ("QuantumNs", "tick"),
-    ("Bounds.Cancel", "withdraw.allowed"),
     ("Bounds.Probes", "probe.allowed"),
     ("Bounds.SecondCopies", "posting.copies"),
     ("Bounds.MaxPostings", "posting.most"),
@@ -229,7 +228,6 @@
             let (port, within) = (worker.port.to_le_bytes(), 0_u64.to_le_bytes());
             reply.record(68, &[&txn.to_le_bytes(), &worker.addr, &port, &within]);
         }
-        Action::Withdraw { txn, leg } => reply.record(72, &[&txn.to_le_bytes(), &[*leg]]),
         Action::Decline { txn, come_back } => {
             reply.record(65, &[&txn.to_le_bytes(), &come_back.to_le_bytes()]);
         }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -70,51 +70,44 @@
 }
 
 /// The source's semi-geometric routine: `n` shifts that sum to 0, the first of them `-r`.
-fn shifts(n: usize, r: f64) -> Vec<f64> {
-    let (mut p, mut adjust) = (vec![0.0; n], -r);
-    for i in 0..n.saturating_sub(1) {
-        p[i] += adjust;
-        let each = adjust / (n - 1 - i) as f64;
-        p[i + 1..].iter_mut().for_each(|later| *later -= each);
+fn shifts(n: usize, r: f64) -> impl Iterator<Item = f64> {
+    let (mut adjust, mut later) = (-r, 0.0);
+    (0..n).map(move |i| {
+        let left = n - 1 - i;
+        let p = if left > 0 { later + adjust } else { later };
+        later -= adjust / left.max(1) as f64;
         adjust /= 2.0;
-    }
-    p
+        p
+    })
+}
+
+/// The work in `bins` that lies below the size `x`.
+fn below(bins: &Bins, x: f64) -> f64 {
+    let bin = bin_of(x.min(1e18)).min(BINS);
+    let part = if bin < BINS { ((x - edge(bin)) / (edge(bin + 1) - edge(bin))).clamp(0.0, 1.0) } else { 0.0 };
+    bins[..bin].iter().sum::<f64>() + bins.get(bin).map_or(0.0, |work| work * part)
 }
 
-/// Boundaries that give lane i the part `targets[i]` of the work in `bins`, cut inside a bin.
-fn cut(bins: &Bins, targets: &[f64]) -> Vec<f64> {
-    let scale = bins.iter().sum::<f64>() / targets.iter().sum::<f64>().max(f64::MIN_POSITIVE);
-    let (mut bin, mut used, mut cuts) = (0, 0.0, Vec::new());
-    for target in &targets[..targets.len().saturating_sub(1)] {
+/// Where each lane ends, as work of the class `own`: a lane that step one gives the part `targets[i]` of the
+/// work in `whole` keeps (1 + shift i) times what it then has of the class (step two).
+fn cut(whole: &Bins, own: &Bins, targets: &[f64], shift: impl Iterator<Item = f64>, ends: &mut Vec<f64>) {
+    let scale = whole.iter().sum::<f64>() / targets.iter().sum::<f64>().max(f64::MIN_POSITIVE);
+    let (mut bin, mut used, mut sum, mut end) = (0, 0.0, 0.0, 0.0);
+    ends.clear();
+    for (target, p) in targets.iter().zip(shift) {
         let mut left = target * scale;
-        while bin < BINS && bins[bin] - used <= left {
-            left -= bins[bin] - used;
+        while bin < BINS && whole[bin] - used <= left {
+            sum += own[bin] * (1.0 - used / whole[bin].max(f64::MIN_POSITIVE));
+            left -= whole[bin] - used;
             (bin, used) = (bin + 1, 0.0);
         }
         if bin < BINS {
             used += left;
-            cuts.push(edge(bin) + (edge(bin + 1) - edge(bin)) * used / bins[bin]);
-        } else {
-            cuts.push(f64::INFINITY);
+            sum += own[bin] * left / whole[bin];
         }
+        end += (1.0 + p) * std::mem::take(&mut sum);
+        ends.push(end);
     }
-    cuts
-}
-
-/// The work in `bins` that lies below the size `x`.
-fn below(bins: &Bins, x: f64) -> f64 {
-    let bin = if x < f64::INFINITY { bin_of(x).min(BINS) } else { BINS };
-    let part = if bin < BINS { ((x - edge(bin)) / (edge(bin + 1) - edge(bin))).clamp(0.0, 1.0) } else { 0.0 };
-    bins[..bin].iter().sum::<f64>() + bins.get(bin).map_or(0.0, |work| work * part)
-}
-
-/// Step two: lane i keeps (1 + shift i) times the work that step one's `cuts` gave it of this scheme.
-fn recut_class(bins: &Bins, cuts: &[f64], shift: &[f64]) -> Vec<f64> {
-    let mut from = 0.0;
-    let ends = cuts.iter().map(|cut| below(bins, *cut)).chain([bins.iter().sum()]);
-    let targets: Vec<f64> =
-        ends.zip(shift).map(|(end, p)| (1.0 + p) * (end - std::mem::replace(&mut from, end))).collect();
-    cut(bins, &targets)
 }
 
 impl Gaps {
@@ -157,6 +150,11 @@
         fade(self.distrust, self.distrust_at, now, 5.0 * SECOND)
     }
 
+    /// Distrust above the fleet's mean: when all look bad at once, no one is worse than another.
+    fn doubt(&self, now: Nanos, mean: f64) -> f64 {
+        if self.distrust > mean { (self.distrust(now) - mean).clamp(0.0, 0.95) } else { 0.0 }
+    }
+
     fn blame(&mut self, now: Nanos, by: f64) {
         let d = self.distrust(now);
         (self.distrust, self.distrust_at) = (d + (1.0 - d) * by, now);
@@ -219,10 +217,16 @@
     lag_at: Nanos,
     others: f64,
     late: f64,
+    /// The mean distrust, and the least capacity for a unit of listed size, as of the last beat.
+    distrust: f64,
+    unit: f64,
+    /// Workers with postings of this dispatcher out, and room for the lanes' parts: kept to save allocations.
+    touched: Vec<usize>,
+    targets: Vec<f64>,
 }
 
 /// The settings without which nothing can be decided; a missing one ends the start.
-const FIGURES: &str = "come_back.allowed come_back.most withdraw.allowed tells_start \
+const FIGURES: &str = "come_back.allowed come_back.most tells_start \
     cold.from cold.time fall.multiple fall.window";
 
 /// The timer of the beat, each second; all others carry a txn's id and leg.
@@ -277,10 +281,15 @@
     fn beat(&mut self, now: Nanos, acts: &mut Vec<Action>) {
         acts.push(Action::Timer { at: now + BEAT_EVERY, token: BEAT });
         self.gaps.iter_mut().for_each(|gaps| gaps.measure(now));
-        self.recut(now);
-        for w in self.workers.iter_mut().filter(|w| w.told != (w.doubt > if w.told { 0.1 } else { 0.5 })) {
-            w.told = !w.told;
-            acts.push(Action::Say(format!("worker {}: distrusted {}", w.id, w.told)));
+        let ready = self.workers.iter().filter(|worker| worker.standing == Standing::Ready);
+        let (sum, count) = ready.fold((0.0, 0.0), |(sum, n), worker| (sum + worker.distrust(now), n + 1.0));
+        let mean = sum / f64::max(count, 1.0);
+        self.distrust = mean;
+        for w in self.workers.iter_mut().filter(|w| w.distrust > 0.0) {
+            if w.told != (w.doubt(now, mean) > if w.told { 0.1 } else { 0.5 }) {
+                w.told = !w.told;
+                acts.push(Action::Say(format!("worker {}: distrusted {}", w.id, w.told)));
+            }
         }
         self.follow(now, acts);
     }
@@ -328,7 +337,16 @@
             (worker.standing, worker.zone, worker.kind) = (entry.standing, entry.zone, entry.kind);
             (worker.group, worker.size) = (entry.group, f64::from(entry.size).max(0.01));
         }
-        self.recut(now);
+        let mut order: Vec<usize> = (0..self.workers.len()).collect();
+        order.retain(|at| self.workers[*at].standing == Standing::Ready);
+        order.sort_unstable_by_key(|at| self.workers[*at].id);
+        for scheme in &mut self.schemes {
+            let fits = |w: &usize| scheme.kind < 0 || i64::from(self.workers[*w].kind) == scheme.kind;
+            scheme.lanes = order.iter().copied().filter(fits).collect();
+        }
+        // Full capacity by what is known of the fleet: seats at their pace for its size, at the least.
+        let known = self.workers.iter().filter(|w| w.standing != Standing::Gone);
+        self.unit = known.map(|w| w.seats / w.pace / w.size).fold(f64::INFINITY, f64::min);
         self.follow(now, acts);
     }
 
@@ -343,65 +361,42 @@
 
     /// What this dispatcher may still send to a cold worker now.
     fn budget(&self, worker: &Worker, now: Nanos) -> f64 {
-        // Full capacity by what is known of the fleet: seats at their pace for its size, at the least.
-        let known = self.workers.iter().filter(|w| w.standing != Standing::Gone);
-        let unit = known.map(|w| w.seats / w.pace / w.size).fold(f64::INFINITY, f64::min);
-        let capacity = unit * worker.size * self.warmth(worker, now);
+        let capacity = self.unit * worker.size * self.warmth(worker, now);
         // Half as a store and half as a flow keep any window under the whole; 0.7 for what hints miss.
         let rate = 0.7 * self.says("fall.multiple") * capacity / self.dispatchers / 2.0;
         let gained = rate * now.saturating_sub(worker.budget_at) as f64;
         (worker.budget + gained).min(rate * self.says("fall.window"))
     }
 
-    /// Draws every scheme's lanes anew.
-    fn recut(&mut self, now: Nanos) {
-        // Half the histogram's weight is of the last 20 s: some hundred jobs where a dispatcher sees 5/s.
-        let keep = fade(1.0, self.cut_at, now, 20.0 * SECOND);
-        self.cut_at = now;
-        for scheme in &mut self.schemes {
-            scheme.bins.iter_mut().for_each(|work| *work *= keep);
-            scheme.seen *= keep;
-        }
-        self.tally(now);
-        let mut order: Vec<usize> = (0..self.workers.len()).collect();
-        order.retain(|at| self.workers[*at].standing == Standing::Ready);
-        order.sort_unstable_by_key(|at| self.workers[*at].id);
+    /// Draws a scheme's lanes anew.
+    fn recut(&mut self, now: Nanos, at: usize) {
         let (r, low, high) = corrections(self.gaps[0].estimate, self.gaps[1].estimate);
         let lone = self.schemes.iter().all(|scheme| scheme.high == self.schemes[0].high);
-        for at in 0..self.schemes.len() {
-            let kind = self.schemes[at].kind;
-            let fits = |w: &usize| kind < 0 || i64::from(self.workers[*w].kind) == kind;
-            let lanes: Vec<usize> = order.iter().copied().filter(fits).collect();
-            let mut whole = [0.0; BINS];
-            for scheme in self.schemes.iter().filter(|scheme| scheme.kind == kind) {
-                whole.iter_mut().zip(&scheme.bins).for_each(|(sum, work)| *sum += work);
-            }
-            let share = |w: &usize| {
-                let worker = &self.workers[*w];
-                worker.size * (1.0 - worker.doubt) * self.warmth(worker, now)
-            };
-            let targets: Vec<f64> =
-                shifts(lanes.len(), r).iter().zip(&lanes).map(|(p, w)| (1.0 + p) * share(w)).collect();
-            let cuts = cut(&whole, &targets);
-            let scheme = &mut self.schemes[at];
-            let shift = shifts(lanes.len(), if scheme.high { high } else { low });
-            scheme.cuts = if lone { cuts } else { recut_class(&scheme.bins, &cuts, &shift) };
-            scheme.lanes = lanes;
+        let mut whole = [0.0; BINS];
+        for scheme in self.schemes.iter().filter(|scheme| scheme.kind == self.schemes[at].kind) {
+            whole.iter_mut().zip(&scheme.bins).for_each(|(sum, work)| *sum += work);
         }
+        let mut targets = std::mem::take(&mut self.targets);
+        targets.clear();
+        targets.extend(shifts(self.schemes[at].lanes.len(), r).zip(&self.schemes[at].lanes).map(|(p, w)| {
+            let worker = &self.workers[*w];
+            (1.0 + p) * worker.size * (1.0 - worker.doubt(now, self.distrust)) * self.warmth(worker, now)
+        }));
+        let scheme = &mut self.schemes[at];
+        let shift = if lone { 0.0 } else { [low, high][usize::from(scheme.high)] };
+        cut(&whole, &scheme.bins, &targets, shifts(targets.len(), shift), &mut scheme.ends);
+        self.targets = targets;
     }
 
     /// Brings up to date what follows from the postings out and from the clock.
     fn tally(&mut self, now: Nanos) {
-        let ready = self.workers.iter().filter(|worker| worker.standing == Standing::Ready);
-        let (sum, count) = ready.fold((0.0, 0.0), |(sum, n), worker| (sum + worker.distrust(now), n + 1.0));
-        for worker in &mut self.workers {
-            // Distrust above the fleet's mean: when all look bad at once, no one is worse than another.
-            worker.doubt = (worker.distrust(now) - sum / f64::max(count, 1.0)).clamp(0.0, 0.95);
-            worker.part = (worker.seats.round() / self.dispatchers).max(1.0);
+        for at in self.touched.drain(..) {
+            let worker = &mut self.workers[at];
             (worker.out, worker.running, worker.ahead) = (0.0, 0.0, 0.0);
         }
         for (_, hand) in &self.txns {
             for posting in hand.legs[..hand.posted].iter().filter(|posting| posting.out) {
+                self.touched.push(posting.worker);
                 let worker = &mut self.workers[posting.worker];
                 let age = now.saturating_sub(posting.started.unwrap_or(now)) as f64;
                 worker.out += hand.need;
@@ -423,16 +418,15 @@
     /// that can start it soon enough; failing that, the one with the least to wait.
     fn choose(&mut self, now: Nanos, key: usize) -> Option<(usize, f64, f64)> {
         self.tally(now);
-        let drawn = self.chance.unit();
+        self.recut(now, usize::from(self.txns[key].txn.scheme));
         let InHand { txn, effect, work, run, need, due, doubt, .. } = self.txns[key];
         let scheme = &self.schemes[usize::from(txn.scheme)];
         let (lanes, mean) = (&scheme.lanes, scheme.mean());
-        // With under 8 jobs in the histogram it cannot be cut: the lane is drawn by chance.
-        let mine = if scheme.cuts.len() + 1 != lanes.len() || scheme.seen < 8.0 {
-            ((drawn * lanes.len() as f64) as usize).min(lanes.len().saturating_sub(1))
-        } else {
-            scheme.cuts.partition_point(|cut| *cut <= work)
-        };
+        // The txn is itself in the histogram: one larger than all before falls on one of the lanes that its
+        // own work fills, not always on the last. Guards against a crowd at the end where few are seen each.
+        let place = below(&scheme.bins, work) / scheme.bins.iter().sum::<f64>();
+        let last = scheme.ends.last().copied().unwrap_or(0.0);
+        let mine = scheme.ends.partition_point(|end| *end <= place * last).min(lanes.len().saturating_sub(1));
         let fleet = (self.unseen * fade(self.lag, self.lag_at, now, SECOND), self.others);
         let (mut least, mut best) = (f64::INFINITY, None);
         for step in 0..2 * lanes.len() {
@@ -451,6 +445,8 @@
                 }
             }
             let worker = &self.workers[at];
+            let part = (worker.seats.round() / self.dispatchers).max(1.0);
+            let doubt = worker.doubt(now, self.distrust);
             if self.warmth(worker, now) < 1.0 && self.budget(worker, now) < work {
                 continue;
             }
@@ -459,11 +455,11 @@
             let strain = wait / room;
             // Taken when there is a seat for it in this dispatcher's part, the worker is not distrusted, and
             // it would start about at once: a twentieth of the room before the SLA time is within error.
-            if worker.out + need.min(worker.part) <= worker.part && worker.doubt < 0.25 && strain < 0.05 {
+            if worker.out + need.min(part) <= part && doubt < 0.25 && strain < 0.05 {
                 return Some((at, wait, strain));
             }
             // Own jobs in flight, and their work, weigh again: what others see and do is alike.
-            let cost = strain + (worker.ahead / room + worker.out) / worker.seats + worker.doubt;
+            let cost = strain + (worker.ahead / room + worker.out) / worker.seats + doubt;
             if cost < least {
                 (least, best) = (cost, Some((at, wait, strain)));
             }
@@ -483,6 +479,15 @@
         let (work, need) = (run * slots, slots.max(f64::from(txn.memory)));
         scheme.bins[bin_of(work).min(BINS - 1)] += work;
         scheme.seen += 1.0;
+        // Half the histogram's weight is of the last 20 s, or of longer where that is under some 150 jobs.
+        let seen = self.schemes.iter().map(|scheme| scheme.seen).sum::<f64>();
+        let keep = fade(1.0, self.cut_at, now, 20.0 * SECOND * (150.0 / seen).max(1.0));
+        self.cut_at = now;
+        for scheme in &mut self.schemes {
+            scheme.bins.iter_mut().for_each(|work| *work *= keep);
+            scheme.seen *= keep;
+        }
+        let scheme = &self.schemes[usize::from(txn.scheme)];
         self.gaps[usize::from(scheme.high)].arrival(now);
         let due = (now + (scheme.sla + scheme.stretch * run) as Nanos).min(txn.expiry);
         let hand = InHand::new(txn, scheme.effect, work, run, need, due);
@@ -534,7 +539,10 @@
         hand.stage = next(hand.stage, Input::Posted, hand.effect).0;
         acts.push(Action::Post { txn: hand.txn.id, worker: worker.id });
         // Overdue: a start later than expected by 300 ms, or without start notes by twice the run.
-        let run = if tells_start { 0.0 } else { 2.0 * hand.run * worker.pace };
+        // Others' jobs there are, by the lanes, of like size: where nothing was heard of late, one may be ahead.
+        // Guards against taking for hung, among many dispatchers, what is only busy with others' work.
+        let ahead = self.unseen * (1.0 - fade(1.0, worker.alive, now, SECOND));
+        let run = if tells_start { ahead } else { 2.0 } * hand.run * worker.pace;
         let at = now + (cost.min(2.0 * SECOND) * 1.5 + run + 0.3 * SECOND) as Nanos;
         acts.push(Action::Timer { at, token });
     }
@@ -559,8 +567,10 @@
         let late = now as f64 + hand.run * worker.pace > hand.due as f64;
         self.late += 0.05 * (f64::from(late) - self.late);
         let run = 2.0 * hand.run * worker.pace + 0.5 * SECOND;
-        let (kind, running) = (worker.kind, worker.running);
-        self.seats(kind, running);
+        let (kind, running, seats) = (worker.kind, worker.running, worker.seats);
+        if running > seats {
+            self.seats(kind, running);
+        }
         acts.push(Action::Timer { at: now + run as Nanos, token: token(txn, usize::from(leg)) });
     }
 
@@ -573,7 +583,6 @@
             return self.place(now, key, acts);
         }
         let Some((_, posting)) = self.posting(txn, leg as u8) else { return };
-        let (stage, effect, doubt, posted) = (hand.stage, hand.effect, hand.doubt, hand.posted);
         let worker = &mut self.workers[posting.worker];
         // A worker that has shown life since is only busy; one that has not may be hung.
         let silent = posting.started.is_none() && worker.alive < posting.at;
@@ -584,17 +593,6 @@
             worker.blame(now, 0.8);
         }
         acts.push(Action::Timer { at: now + age.max(300_000_000), token });
-        // What has not started is taken elsewhere if it can start there with half its room to spare. Guards
-        // against txns taken back from a queue only to be given up.
-        let moves = silent && stage != Answered && effect != OnceOnly && posted < self.most_postings;
-        if moves && self.says("withdraw.allowed") > 0.0 {
-            // Chosen as if the withdrawal had ended already: from then on the posting may have run.
-            self.txns[key].doubt = doubt.or(Some((posting.worker, posting.at)));
-            if self.choose(now, key).is_some_and(|(at, _, strain)| at != posting.worker && strain < 0.5) {
-                acts.push(Action::Withdraw { txn, leg: leg as u8 });
-            }
-            self.txns[key].doubt = doubt;
-        }
     }
 
     fn ended(&mut self, now: Nanos, end: Ended, acts: &mut Vec<Action>) {
@@ -627,7 +625,7 @@
 
     /// Workers of one kind have as many seats as any of them was seen to fill.
     fn seats(&mut self, kind: u8, seen: f64) {
-        for worker in self.workers.iter_mut().filter(|worker| worker.kind == kind) {
+        for worker in self.workers.iter_mut().filter(|worker| worker.kind == kind && worker.seats < seen) {
             worker.seats = worker.seats.max(seen);
         }
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -122,10 +122,7 @@
     pub out: f64,
     pub running: f64,
     pub ahead: f64,
-    /// This dispatcher's part of its seats, at least one.
-    pub part: f64,
-    /// Distrust above the fleet's mean, and whether the log was told of it.
-    pub doubt: f64,
+    /// Whether the log was told of its distrust.
     pub told: bool,
 }
 
@@ -148,7 +145,8 @@
     pub bins: Bins,
     pub seen: f64,
     pub lanes: Vec<usize>,
-    pub cuts: Vec<f64>,
+    /// The work of this scheme at which each lane ends.
+    pub ends: Vec<f64>,
 }
 
 impl Scheme {
@@ -171,7 +169,7 @@
             bins: [0.0; BINS],
             seen: 0.0,
             lanes: Vec::new(),
-            cuts: Vec::new(),
+            ends: Vec::new(),
         })
     }
 
--- a/src/types.rs
+++ b/src/types.rs
@@ -101,7 +101,6 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
     Post { txn: TxnId, worker: WorkerId },
-    Withdraw { txn: TxnId, leg: u8 },
     Decline { txn: TxnId, come_back: Nanos },
     Reverse { txn: TxnId },
     Follow,
