Let twelve dispatchers share a worker, and probe lanes not heard of before posting

Cause: at full size a dispatcher posted to one worker once in minutes, so it knew nothing of it, and nearly each txn opened a connection. Now each dispatcher keeps to a spread of workers, one of each stretch of ids, so many that twelve share each worker, cut into lanes in id order; where workers report, the lane's worker and its neighbours are probed if not heard of for a second. The dispatcher's plain data moved to state.rs, with the histogram's geometry and the sums of gaps.

--- a/crates/wirehost/src/translate.rs
+++ b/crates/wirehost/src/translate.rs
@@ -1,6 +1,8 @@
 //! The wire's words to ours and back. No name of the wire is known outside this file.
 use crate::codec::{Fault, Fields, Reply};
-use rosewall::types::{Action, Ended, Event, Listed, Outcome, Report, Scope, Standing, Txn, WorkerId};
+use rosewall::types::{
+    Action, Ended, Event, Listed, Outcome, Probed, Report, Scope, Standing, Txn, WorkerId,
+};
 use std::collections::BTreeMap;
 
 /// What a record of a batch asks of the host.
@@ -29,6 +31,7 @@
         5 => ended(&mut f)?,
         6 => Event::Lapsed { txn: f.u32()? },
         7 => Event::Due { token: f.u64()? },
+        8 => probed(&mut f)?,
         11 => match note(&mut f)? {
             Some(event) => event,
             None => return Ok(Incoming::Unknown),
@@ -114,6 +117,11 @@
     Ok(Event::Ended(Ended { txn, leg, outcome, complete, report: report(f)? }))
 }
 
+fn probed(f: &mut Fields<'_>) -> Result<Event, Fault> {
+    let (worker, _took, outcome) = (worker(f)?, f.u64()?, outcome(f.u16()?)?);
+    Ok(Event::Probed(Probed { worker, outcome, report: report(f)? }))
+}
+
 /// News of a posting; that it has started is all that is used.
 fn note(f: &mut Fields<'_>) -> Result<Option<Event>, Fault> {
     let (txn, _worker, leg, _share) = (f.u32()?, f.address()?, f.u8()?, f.f32()?);
@@ -228,6 +236,7 @@
             let (port, within) = (worker.port.to_le_bytes(), 0_u64.to_le_bytes());
             reply.record(68, &[&txn.to_le_bytes(), &worker.addr, &port, &within]);
         }
+        Action::Probe { worker } => reply.record(75, &[&worker.addr, &worker.port.to_le_bytes()]),
         Action::Decline { txn, come_back } => {
             reply.record(65, &[&txn.to_le_bytes(), &come_back.to_le_bytes()]);
         }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -7,25 +7,18 @@
 //! How to read it: `TABLE` says what may follow for a txn, `choose` picks its worker, `recut` draws the
 //! lanes by DIFFEQAL, `Worker` holds what is believed of a worker, and `handle` joins them.
 use crate::pcg::Pcg;
+pub use crate::state::Dispatcher;
 use crate::state::Effect::{OnceOnly, Referenced, Repeatable};
 use crate::state::Stage::{Again, Answered, Doubted, Held, Out};
-use crate::state::{BINS, Bins, FIRST_EDGE, PARTS, pick};
+use crate::state::{BINS, Bins, SECOND, below, fade, pick};
 use crate::state::{Effect, Gaps, InHand, Input, LEGS, Map, Posting, Scheme, Stage, Step, Worker};
-use crate::types::{Action, Ended, Event, Listed, Nanos, Outcome, Report, Scope, Standing};
-use crate::types::{Txn, TxnId, WorkerId};
-use rustc_hash::FxHashMap;
-use slab::Slab;
+use crate::types::{Action, Ended, Event, Listed, Nanos, Outcome, Probed, Report, Scope, Standing};
+use crate::types::{Txn, TxnId};
 use std::collections::BTreeMap;
 
 #[cfg(test)]
 mod tests;
 
-const SECOND: f64 = 1e9;
-
-fn fade(value: f64, since: Nanos, now: Nanos, half: f64) -> f64 {
-    value * (-(now.saturating_sub(since) as f64) / half).exp2()
-}
-
 const ALL: &[Effect] = &[Repeatable, Referenced, OnceOnly];
 
 /// States, input, for which effects, next state, effect. What is not listed changes nothing.
@@ -59,16 +52,6 @@
     }
 }
 
-fn bin_of(work: f64) -> usize {
-    let units = (work / FIRST_EDGE).max(1.0);
-    let octave = (units as u64).ilog2() as usize;
-    octave * PARTS + ((units / (1_u64 << octave) as f64 - 1.0) * PARTS as f64) as usize
-}
-
-fn edge(bin: usize) -> f64 {
-    FIRST_EDGE * (1_u64 << (bin / PARTS)) as f64 * (1.0 + (bin % PARTS) as f64 / PARTS as f64)
-}
-
 /// The source's semi-geometric routine: `n` shifts that sum to 0, the first of them `-r`.
 fn shifts(n: usize, r: f64) -> impl Iterator<Item = f64> {
     let (mut adjust, mut later) = (-r, 0.0);
@@ -81,13 +64,6 @@
     })
 }
 
-/// The work in `bins` that lies below the size `x`.
-fn below(bins: &Bins, x: f64) -> f64 {
-    let bin = bin_of(x.min(1e18)).min(BINS);
-    let part = if bin < BINS { ((x - edge(bin)) / (edge(bin + 1) - edge(bin))).clamp(0.0, 1.0) } else { 0.0 };
-    bins[..bin].iter().sum::<f64>() + bins.get(bin).map_or(0.0, |work| work * part)
-}
-
 /// Where each lane ends, as work of the class `own`: a lane that step one gives the part `targets[i]` of the
 /// work in `whole` keeps (1 + shift i) times what it then has of the class (step two).
 fn cut(whole: &Bins, own: &Bins, targets: &[f64], shift: impl Iterator<Item = f64>, ends: &mut Vec<f64>) {
@@ -111,28 +87,12 @@
 }
 
 impl Gaps {
-    fn arrival(&mut self, now: Nanos) {
-        if let Some(last) = self.last {
-            let gap = (now - last) as f64 / SECOND;
-            self.count += 1.0;
-            self.sum += gap;
-            self.squares += gap * gap;
-            self.products += gap * self.before;
-            self.before = gap;
-        }
-        self.last = Some(now);
-    }
-
     /// The design page's figures: over 5 s, and the last estimate stays until 100 gaps exist.
     fn measure(&mut self, now: Nanos) {
         if now - self.from < 5_000_000_000 || self.count < 100.0 {
             return;
         }
-        let mean = self.sum / self.count;
-        let variance = self.squares / self.count - mean * mean;
-        let covariance = self.products / (self.count - 1.0) - mean * mean;
-        let estimate = if variance > 0.0 { covariance / variance } else { 0.0 };
-        *self = Gaps { from: now, last: self.last, estimate, ..Gaps::default() };
+        *self = Gaps { from: now, last: self.last, estimate: self.autocorrelation(), ..Gaps::default() };
     }
 }
 
@@ -183,50 +143,8 @@
     }
 }
 
-impl Posting {
-    /// How much longer it has waited, for a start now, than this dispatcher's own work explains.
-    fn delay(&self, now: Nanos) -> f64 {
-        ((now - self.at) as f64 - self.expected).max(0.0)
-    }
-}
-
-#[derive(Default)]
-pub struct Dispatcher {
-    chance: Pcg,
-    schemes: Vec<Scheme>,
-    workers: Vec<Worker>,
-    known: FxHashMap<WorkerId, usize>,
-    txns: Slab<InHand>,
-    held: FxHashMap<TxnId, usize>,
-    gaps: [Gaps; 2],
-    /// Where a report has its free slots and its jobs in flight.
-    report_at: [Option<usize>; 2],
-    /// The settings that are numbers, or yes (1) and no (0).
-    figures: BTreeMap<&'static str, f64>,
-    list_asked: bool,
-    following: bool,
-    ask_at: Nanos,
-    ask_failures: u32,
-    most_postings: usize,
-    /// How many there are, and the part that this one does not see: a lone one knows all that waits.
-    dispatchers: f64,
-    unseen: f64,
-    cut_at: Nanos,
-    /// The start delay of late, over all workers.
-    lag: f64,
-    lag_at: Nanos,
-    others: f64,
-    late: f64,
-    /// The mean distrust, and the least capacity for a unit of listed size, as of the last beat.
-    distrust: f64,
-    unit: f64,
-    /// Workers with postings of this dispatcher out, and room for the lanes' parts: kept to save allocations.
-    touched: Vec<usize>,
-    targets: Vec<f64>,
-}
-
 /// The settings without which nothing can be decided; a missing one ends the start.
-const FIGURES: &str = "come_back.allowed come_back.most tells_start \
+const FIGURES: &str = "me come_back.allowed come_back.most probe.allowed tells_start \
     cold.from cold.time fall.multiple fall.window";
 
 /// The timer of the beat, each second; all others carry a txn's id and leg.
@@ -273,6 +191,7 @@
             Event::Started { txn, leg } => self.started(now, txn, leg, acts),
             Event::StreamBegun { txn } | Event::Lapsed { txn } => self.input(now, txn, Input::Left, acts),
             Event::Ended(end) => self.ended(now, end, acts),
+            Event::Probed(probed) => self.probed(now, probed, acts),
             Event::Due { token: BEAT } => self.beat(now, acts),
             Event::Due { token } => self.watch(now, token, acts),
         }
@@ -340,9 +259,22 @@
         let mut order: Vec<usize> = (0..self.workers.len()).collect();
         order.retain(|at| self.workers[*at].standing == Standing::Ready);
         order.sort_unstable_by_key(|at| self.workers[*at].id);
+        let (me, workers) = (self.says("me") as usize, &self.workers);
         for scheme in &mut self.schemes {
-            let fits = |w: &usize| scheme.kind < 0 || i64::from(self.workers[*w].kind) == scheme.kind;
-            scheme.lanes = order.iter().copied().filter(fits).collect();
+            let fits = |w: &usize| scheme.kind < 0 || i64::from(workers[*w].kind) == scheme.kind;
+            scheme.all = order.iter().copied().filter(fits).collect();
+            // Each dispatcher keeps to so many workers that twelve share each: of one to a hundred and more,
+            // few enough to hear of them and reuse connections, enough that uneven traffic evens out.
+            let n = scheme.all.len();
+            let m = ((12.0 * n as f64 / self.dispatchers).ceil() as usize).min(n);
+            // One of each stretch of ids: one in use if there is, else by turns over the dispatchers.
+            let pick = |lane: usize| {
+                let among = &scheme.all[lane * n / m..(lane + 1) * n / m];
+                let used = among.iter().filter(|at| workers[**at].alive > 0);
+                let turn = (me + lane * (me / among.len())) % among.len();
+                *used.max_by_key(|at| workers[**at].alive).unwrap_or(&among[turn])
+            };
+            scheme.lanes = (0..m).map(pick).collect();
         }
         // Full capacity by what is known of the fleet: seats at their pace for its size, at the least.
         let known = self.workers.iter().filter(|w| w.standing != Standing::Gone);
@@ -414,26 +346,75 @@
         }
     }
 
+    /// The place of a txn among its scheme's lanes.
+    fn lane(&mut self, now: Nanos, key: usize) -> usize {
+        let InHand { txn, work, .. } = self.txns[key];
+        self.recut(now, usize::from(txn.scheme));
+        let scheme = &self.schemes[usize::from(txn.scheme)];
+        // The txn is itself in the histogram: one larger than all before falls on one of the lanes that its
+        // own work fills, not always on the last. Guards against a crowd at the end where few are seen each.
+        let place = below(&scheme.bins, work) / scheme.bins.iter().sum::<f64>();
+        let last = scheme.ends.last().copied().unwrap_or(0.0);
+        let lane = scheme.ends.partition_point(|end| *end <= place * last);
+        lane.min(scheme.lanes.len().saturating_sub(1))
+    }
+
+    /// Probes the lane's worker and its id neighbours, where it was not heard of for a second.
+    fn ask(&mut self, now: Nanos, key: usize, acts: &mut Vec<Action>) -> bool {
+        // Without reports a probe says too little for its work.
+        let useful = self.says("probe.allowed") > 0.0 && self.report_at != [None; 2];
+        if !useful || std::mem::replace(&mut self.txns[key].asked, true) {
+            return false;
+        }
+        let lane = self.lane(now, key);
+        let InHand { txn, due, run, .. } = self.txns[key];
+        let lanes = &self.schemes[usize::from(txn.scheme)].lanes;
+        let unheard = |at: &usize| now - self.workers[*at].alive > SECOND as Nanos;
+        if !lanes.get(lane).is_some_and(unheard) {
+            return false;
+        }
+        for &at in lanes[lane.saturating_sub(1)..lanes.len().min(lane + 2)].iter().filter(|at| unheard(at)) {
+            acts.push(Action::Probe { worker: self.workers[at].id });
+            self.asked.push((at, txn.id, now));
+        }
+        let room = (due - now) as f64 - run;
+        acts.push(Action::Timer { at: now + (room.max(0.0) / 20.0) as Nanos, token: token(txn.id, 0) });
+        true
+    }
+
+    fn probed(&mut self, now: Nanos, Probed { worker, outcome, report }: Probed, acts: &mut Vec<Action>) {
+        let here = |asked: &(usize, TxnId, Nanos)| self.workers[asked.0].id == worker;
+        let Some(place) = self.asked.iter().position(here) else { return };
+        let (at, txn, _) = self.asked.swap_remove(place);
+        match outcome {
+            Outcome::Settled => self.workers[at].clear(now, 0.1),
+            Outcome::Full | Outcome::Withdrawn | Outcome::Moot => {}
+            _ => self.workers[at].blame(now, 0.5),
+        }
+        self.read_report(now, at, report);
+        let Some(&key) = self.held.get(&txn) else { return };
+        if self.txns[key].stage == Held && self.asked.iter().all(|asked| asked.1 != txn) {
+            self.place(now, key, acts);
+        }
+    }
+
     /// The worker for a txn, and how long it would wait there: its lane's, or the nearest id neighbour
     /// that can start it soon enough; failing that, the one with the least to wait.
     fn choose(&mut self, now: Nanos, key: usize) -> Option<(usize, f64, f64)> {
         self.tally(now);
-        self.recut(now, usize::from(self.txns[key].txn.scheme));
+        let mine = self.lane(now, key);
         let InHand { txn, effect, work, run, need, due, doubt, .. } = self.txns[key];
         let scheme = &self.schemes[usize::from(txn.scheme)];
-        let (lanes, mean) = (&scheme.lanes, scheme.mean());
-        // The txn is itself in the histogram: one larger than all before falls on one of the lanes that its
-        // own work fills, not always on the last. Guards against a crowd at the end where few are seen each.
-        let place = below(&scheme.bins, work) / scheme.bins.iter().sum::<f64>();
-        let last = scheme.ends.last().copied().unwrap_or(0.0);
-        let mine = scheme.ends.partition_point(|end| *end <= place * last).min(lanes.len().saturating_sub(1));
+        // Where a repeat is bound to a group, its workers may be any in the list.
+        let bound = doubt.filter(|_| effect == Referenced);
+        let (lanes, mean) = (if bound.is_some() { &scheme.all } else { &scheme.lanes }, scheme.mean());
         let fleet = (self.unseen * fade(self.lag, self.lag_at, now, SECOND), self.others);
         let (mut least, mut best) = (f64::INFINITY, None);
         for step in 0..2 * lanes.len() {
             let far = step.div_ceil(2);
             let lane = if step % 2 == 1 { mine.checked_add(far) } else { mine.checked_sub(far) };
             let Some(&at) = lane.and_then(|lane| lanes.get(lane)) else { continue };
-            if let Some((first, since)) = doubt.filter(|_| effect == Referenced) {
+            if let Some((first, since)) = bound {
                 let (a, b) = (&self.workers[first], &self.workers[at]);
                 let drops = match scheme.group.as_str() {
                     "all" => true,
@@ -477,21 +458,16 @@
         let run = txn.hint.map_or_else(|| scheme.mean() / slots, |hint| hint as f64);
         // A job waits until both its slots and its memory fit; a worker has a unit of memory a slot.
         let (work, need) = (run * slots, slots.max(f64::from(txn.memory)));
-        scheme.bins[bin_of(work).min(BINS - 1)] += work;
-        scheme.seen += 1.0;
+        scheme.add(work);
         // Half the histogram's weight is of the last 20 s, or of longer where that is under some 150 jobs.
         let seen = self.schemes.iter().map(|scheme| scheme.seen).sum::<f64>();
         let keep = fade(1.0, self.cut_at, now, 20.0 * SECOND * (150.0 / seen).max(1.0));
         self.cut_at = now;
-        for scheme in &mut self.schemes {
-            scheme.bins.iter_mut().for_each(|work| *work *= keep);
-            scheme.seen *= keep;
-        }
+        self.schemes.iter_mut().for_each(|scheme| scheme.age(keep));
         let scheme = &self.schemes[usize::from(txn.scheme)];
         self.gaps[usize::from(scheme.high)].arrival(now);
         let due = (now + (scheme.sla + scheme.stretch * run) as Nanos).min(txn.expiry);
-        let hand = InHand::new(txn, scheme.effect, work, run, need, due);
-        let key = self.txns.insert(hand);
+        let key = self.txns.insert(InHand::new(txn, scheme.effect, work, run, need, due));
         self.held.insert(txn.id, key);
         self.place(now, key, acts);
     }
@@ -501,6 +477,9 @@
         if posted >= self.most_postings || now >= expiry {
             return self.input(now, id, Input::GivenUp, acts);
         }
+        if self.ask(now, key, acts) {
+            return;
+        }
         match self.choose(now, key) {
             Some((at, cost, strain)) if posted > 0 || self.kept(now, key, strain) => {
                 self.post(now, key, at, cost, acts);
@@ -539,7 +518,7 @@
         hand.stage = next(hand.stage, Input::Posted, hand.effect).0;
         acts.push(Action::Post { txn: hand.txn.id, worker: worker.id });
         // Overdue: a start later than expected by 300 ms, or without start notes by twice the run.
-        // Others' jobs there are, by the lanes, of like size: where nothing was heard of late, one may be ahead.
+        // Others' jobs there are, by the lanes, of like size: where none was heard of, one may be ahead.
         // Guards against taking for hung, among many dispatchers, what is only busy with others' work.
         let ahead = self.unseen * (1.0 - fade(1.0, worker.alive, now, SECOND));
         let run = if tells_start { ahead } else { 2.0 } * hand.run * worker.pace;
@@ -547,13 +526,6 @@
         acts.push(Action::Timer { at, token });
     }
 
-    fn posting(&self, txn: TxnId, leg: u8) -> Option<(usize, Posting)> {
-        let key = *self.held.get(&txn)?;
-        let hand = &self.txns[key];
-        let posting = hand.legs[..hand.posted].get(usize::from(leg))?;
-        posting.out.then_some((key, *posting))
-    }
-
     fn started(&mut self, now: Nanos, txn: TxnId, leg: u8, acts: &mut Vec<Action>) {
         let Some((key, posting)) = self.posting(txn, leg) else { return };
         self.txns[key].legs[usize::from(leg)].started = Some(now);
@@ -567,10 +539,8 @@
         let late = now as f64 + hand.run * worker.pace > hand.due as f64;
         self.late += 0.05 * (f64::from(late) - self.late);
         let run = 2.0 * hand.run * worker.pace + 0.5 * SECOND;
-        let (kind, running, seats) = (worker.kind, worker.running, worker.seats);
-        if running > seats {
-            self.seats(kind, running);
-        }
+        let (kind, running) = (worker.kind, worker.running);
+        self.seats(kind, running);
         acts.push(Action::Timer { at: now + run as Nanos, token: token(txn, usize::from(leg)) });
     }
 
@@ -580,6 +550,11 @@
         let Some(&key) = self.held.get(&txn) else { return };
         let hand = &self.txns[key];
         if matches!(hand.stage, Held | Doubted) && leg == hand.posted {
+            // A probe without its answer yet: whoever it went to is busy or worse.
+            for (at, _, since) in self.asked.iter().filter(|asked| asked.1 == txn) {
+                let worker = &mut self.workers[*at];
+                (worker.lag, worker.lag_at) = (worker.lag.max((now - since) as f64), now);
+            }
             return self.place(now, key, acts);
         }
         let Some((_, posting)) = self.posting(txn, leg as u8) else { return };
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -1,8 +1,10 @@
 use super::*;
+use crate::state::bin_of;
+use crate::types::WorkerId;
 use test_case::test_case;
 
 const MS: Nanos = 1_000_000;
-const SETTINGS: &str = "dispatchers=2 posting.most=4 come_back.allowed=true come_back.most=2000000000 \
+const SETTINGS: &str = "dispatchers=2 me=0 probe.allowed=true posting.most=4 come_back.allowed=true come_back.most=2000000000 \
     tells_start=true cold.from=0.2 cold.time=10e9 fall.multiple=3 fall.window=1e9 \
     report.fields=inflight,free-slots list.mode=asked scheme.count=3 \
     scheme.0.effect=repeatable scheme.0.group=all scheme.0.window=0 scheme.0.sla=3e8 scheme.0.value=1 \
@@ -186,12 +188,50 @@
 fn silence_is_not_held_against_a_worker_hardly_heard_of(alive: Nanos, now: Nanos) -> bool {
     let mut d = dispatcher(1);
     (d.unseen, d.workers[0].alive) = (1.0, alive * MS);
+    d.figures.insert("probe.allowed", 0.0);
     let now = now.max(1) * MS + 60_000 * MS * u64::from(alive == 0);
     let mut acts = Vec::new();
     d.handle(now, Event::Arrived(txn(1, 0, 800 * MS, now)), &mut acts);
     acts.iter().any(|act| matches!(act, Action::Timer { at, .. } if *at > now + 1_000 * MS))
 }
 
+/// Guards against a stale view: with many dispatchers a lane's worker is mostly unheard of.
+#[test_case(&[(1, 2.0), (0, 0.0), (2, 0.0)] => Some(1); "the one with a free seat")]
+#[test_case(&[(1, 2.0)] => None; "all answers are waited for")]
+fn probed_before_posting(answers: &[(u8, f32)]) -> Option<u8> {
+    let mut d = dispatcher(3);
+    let now = 60_000 * MS;
+    d.schemes[0].bins[0] = 1e3;
+    let acts = handle(&mut d, now, Event::Arrived(txn(1, 0, 100 * MS, now)));
+    assert!(acts.iter().filter(|act| matches!(act, Action::Probe { .. })).count() > 1, "{acts:?}");
+    let mut posted = None;
+    for (n, free) in answers.iter().filter(|answer| acts.contains(&Action::Probe { worker: id(answer.0) })) {
+        let report = Report { count: 2, values: [2.0 - free, *free, 0.0, 0.0] };
+        let probed = Probed { worker: id(*n), outcome: Outcome::Settled, report };
+        for act in handle(&mut d, now + MS, Event::Probed(probed)) {
+            posted = if let Action::Post { worker, .. } = act { Some(worker.addr[3]) } else { posted };
+        }
+    }
+    posted
+}
+
+#[test_case(9, 40 => (40, 9, 9); "few dispatchers use all workers")]
+#[test_case(200, 100 => (6, 11, 13); "of many, about twelve share each")]
+#[test_case(500, 100 => (3, 14, 16); "or a few more")]
+fn workers_are_shared_evenly(dispatchers: u32, workers: u8) -> (usize, usize, usize) {
+    let (mut users, mut lanes) = (vec![0; usize::from(workers)], 0);
+    for me in 0..dispatchers {
+        let mut d = dispatcher(0);
+        d.dispatchers = f64::from(dispatchers);
+        d.figures.insert("me", f64::from(me));
+        let entries = (0..workers).map(|n| entry(n, Standing::Ready, 0)).collect();
+        d.handle(0, Event::List { scope: Scope::Whole, entries }, &mut Vec::new());
+        lanes = d.schemes[0].lanes.len();
+        d.schemes[0].lanes.iter().for_each(|at| users[*at] += 1);
+    }
+    (lanes, users.iter().copied().min().unwrap(), users.iter().copied().max().unwrap())
+}
+
 #[test]
 fn late_reports_do_not_add_seats() {
     let mut d = dispatcher(1);
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,8 +1,18 @@
 //! What the decisions remember, as plain data. None of it crosses the interface and nothing is decided here.
-use crate::types::{Nanos, Standing, Txn, WorkerId};
+use crate::pcg::Pcg;
+use crate::types::{Nanos, Standing, Txn, TxnId, WorkerId};
+use rustc_hash::FxHashMap;
+use slab::Slab;
 use std::collections::BTreeMap;
 use std::str::FromStr;
 
+pub const SECOND: f64 = 1e9;
+
+/// What is left of a value after so long, if it halves in `half`.
+pub fn fade(value: f64, since: Nanos, now: Nanos, half: f64) -> f64 {
+    value * (-(now.saturating_sub(since) as f64) / half).exp2()
+}
+
 pub type Map = BTreeMap<String, String>;
 
 /// Reads one setting.
@@ -81,6 +91,8 @@
     pub due: Nanos,
     pub legs: [Posting; LEGS],
     pub posted: usize,
+    /// Whether its lane was probed.
+    pub asked: bool,
     /// The first posting that may have run: its worker and when it was sent.
     pub doubt: Option<(usize, Nanos)>,
 }
@@ -88,7 +100,19 @@
 impl InHand {
     pub fn new(txn: Txn, effect: Effect, work: f64, run: f64, need: f64, due: Nanos) -> Self {
         let legs = [Posting::default(); LEGS];
-        InHand { txn, effect, stage: Stage::Held, work, run, need, due, legs, posted: 0, doubt: None }
+        InHand {
+            txn,
+            effect,
+            stage: Stage::Held,
+            work,
+            run,
+            need,
+            due,
+            legs,
+            posted: 0,
+            asked: false,
+            doubt: None,
+        }
     }
 }
 
@@ -133,6 +157,23 @@
 
 pub type Bins = [f64; BINS];
 
+pub fn bin_of(work: f64) -> usize {
+    let units = (work / FIRST_EDGE).max(1.0);
+    let octave = (units as u64).ilog2() as usize;
+    octave * PARTS + ((units / (1_u64 << octave) as f64 - 1.0) * PARTS as f64) as usize
+}
+
+pub fn edge(bin: usize) -> f64 {
+    FIRST_EDGE * (1_u64 << (bin / PARTS)) as f64 * (1.0 + (bin % PARTS) as f64 / PARTS as f64)
+}
+
+/// The work in `bins` that lies below the size `x`.
+pub fn below(bins: &Bins, x: f64) -> f64 {
+    let bin = bin_of(x.min(1e18)).min(BINS);
+    let part = if bin < BINS { ((x - edge(bin)) / (edge(bin + 1) - edge(bin))).clamp(0.0, 1.0) } else { 0.0 };
+    bins[..bin].iter().sum::<f64>() + bins.get(bin).map_or(0.0, |work| work * part)
+}
+
 pub struct Scheme {
     pub effect: Effect,
     pub group: String,
@@ -144,6 +185,8 @@
     pub high: bool,
     pub bins: Bins,
     pub seen: f64,
+    /// All ready workers that may take it, and those of them that this dispatcher keeps to, in id order.
+    pub all: Vec<usize>,
     pub lanes: Vec<usize>,
     /// The work of this scheme at which each lane ends.
     pub ends: Vec<f64>,
@@ -168,11 +211,22 @@
             high: false,
             bins: [0.0; BINS],
             seen: 0.0,
+            all: Vec::new(),
             lanes: Vec::new(),
             ends: Vec::new(),
         })
     }
 
+    pub fn add(&mut self, work: f64) {
+        self.bins[bin_of(work).min(BINS - 1)] += work;
+        self.seen += 1.0;
+    }
+
+    pub fn age(&mut self, keep: f64) {
+        self.bins.iter_mut().for_each(|work| *work *= keep);
+        self.seen *= keep;
+    }
+
     /// The mean work of late, for a txn without a valid hint.
     pub fn mean(&self) -> f64 {
         if self.seen > 0.0 { self.bins.iter().sum::<f64>() / self.seen } else { 1e8 }
@@ -191,3 +245,80 @@
     pub products: f64,
     pub estimate: f64,
 }
+
+impl Gaps {
+    pub fn arrival(&mut self, now: Nanos) {
+        if let Some(last) = self.last {
+            let gap = (now - last) as f64 / SECOND;
+            self.count += 1.0;
+            self.sum += gap;
+            self.squares += gap * gap;
+            self.products += gap * self.before;
+            self.before = gap;
+        }
+        self.last = Some(now);
+    }
+
+    /// The lag-one autocorrelation of the gaps counted.
+    pub fn autocorrelation(&self) -> f64 {
+        let mean = self.sum / self.count;
+        let variance = self.squares / self.count - mean * mean;
+        let covariance = self.products / (self.count - 1.0) - mean * mean;
+        if variance > 0.0 { covariance / variance } else { 0.0 }
+    }
+}
+
+impl Posting {
+    /// How much longer it has waited, for a start now, than this dispatcher's own work explains.
+    pub fn delay(&self, now: Nanos) -> f64 {
+        ((now - self.at) as f64 - self.expected).max(0.0)
+    }
+}
+
+/// One submitter's dispatcher; how to call it stands in `policy`.
+#[derive(Default)]
+pub struct Dispatcher {
+    pub(crate) chance: Pcg,
+    pub(crate) schemes: Vec<Scheme>,
+    pub(crate) workers: Vec<Worker>,
+    pub(crate) known: FxHashMap<WorkerId, usize>,
+    pub(crate) txns: Slab<InHand>,
+    pub(crate) held: FxHashMap<TxnId, usize>,
+    pub(crate) gaps: [Gaps; 2],
+    /// Where a report has its free slots and its jobs in flight.
+    pub(crate) report_at: [Option<usize>; 2],
+    /// The settings that are numbers, or yes (1) and no (0).
+    pub(crate) figures: BTreeMap<&'static str, f64>,
+    pub(crate) list_asked: bool,
+    pub(crate) following: bool,
+    pub(crate) ask_at: Nanos,
+    pub(crate) ask_failures: u32,
+    pub(crate) most_postings: usize,
+    /// How many there are, and the part that this one does not see: a lone one knows all that waits.
+    pub(crate) dispatchers: f64,
+    pub(crate) unseen: f64,
+    pub(crate) cut_at: Nanos,
+    /// The start delay of late, over all workers.
+    pub(crate) lag: f64,
+    pub(crate) lag_at: Nanos,
+    pub(crate) others: f64,
+    pub(crate) late: f64,
+    /// The mean distrust, and the least capacity for a unit of listed size, as of the last beat.
+    pub(crate) distrust: f64,
+    pub(crate) unit: f64,
+    /// Probes out: the worker, the txn and when.
+    pub(crate) asked: Vec<(usize, TxnId, Nanos)>,
+    /// Workers with postings of this dispatcher out, and room for the lanes' parts: kept to save allocations.
+    pub(crate) touched: Vec<usize>,
+    pub(crate) targets: Vec<f64>,
+}
+
+impl Dispatcher {
+    /// A posting that is still out, and the place of its txn.
+    pub(crate) fn posting(&self, txn: TxnId, leg: u8) -> Option<(usize, Posting)> {
+        let key = *self.held.get(&txn)?;
+        let hand = &self.txns[key];
+        let posting = hand.legs[..hand.posted].get(usize::from(leg))?;
+        posting.out.then_some((key, *posting))
+    }
+}
--- a/src/types.rs
+++ b/src/types.rs
@@ -87,6 +87,14 @@
     pub report: Report,
 }
 
+/// The answer to a probe.
+#[derive(Clone, Copy, Debug)]
+pub struct Probed {
+    pub worker: WorkerId,
+    pub outcome: Outcome,
+    pub report: Report,
+}
+
 #[derive(Clone, Debug)]
 pub enum Event {
     List { scope: Scope, entries: Vec<Listed> },
@@ -94,6 +102,7 @@
     Started { txn: TxnId, leg: u8 },
     StreamBegun { txn: TxnId },
     Ended(Ended),
+    Probed(Probed),
     Lapsed { txn: TxnId },
     Due { token: u64 },
 }
@@ -101,6 +110,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
     Post { txn: TxnId, worker: WorkerId },
+    Probe { worker: WorkerId },
     Decline { txn: TxnId, come_back: Nanos },
     Reverse { txn: TxnId },
     Follow,
