--- a/crates/wirehost/src/tests.rs
+++ b/crates/wirehost/src/tests.rs
@@ -1,7 +1,7 @@
 use super::*;
 use test_case::test_case;
 
-const SETTINGS: &str = "Bounds.Cancel=true\nBounds.MaxPostings=3\nBounds.MaxRetryAfterNs=2000000000\n\
+const SETTINGS: &str = "Bounds.Probes=true\nMe=0\nBounds.MaxPostings=3\nBounds.MaxRetryAfterNs=2000000000\n\
     Bounds.RetryAfter=true\nContract.ColdFrom=0.14\nContract.ColdNs=24000000000\nContract.FallMultiple=4.0\n\
     Contract.FallNs=2000000000\nFamilyInfo.ClassStretch=2.0\nFamilyInfo.ReportX0=free_slots\n\
     FamilyInfo.TellsStart=true\nRegistryMode=on_request\nReport.Fields=load_share,x0\nSchemes.count=1\n\
