Split a cold worker's budget among those that share it, and use half of the limit

Now only jobs of the present process count, the fleet's capacity is surveyed each second, a newly heard worker starts with an empty budget, and 0.5 of the limit is used, not 0.7, by those that share the worker (half again as many as by turns), not by all dispatchers.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -200,10 +200,8 @@
     fn beat(&mut self, now: Nanos, acts: &mut Vec<Action>) {
         acts.push(Action::Timer { at: now + BEAT_EVERY, token: BEAT });
         self.gaps.iter_mut().for_each(|gaps| gaps.measure(now));
-        let ready = self.workers.iter().filter(|worker| worker.standing == Standing::Ready);
-        let (sum, count) = ready.fold((0.0, 0.0), |(sum, n), worker| (sum + worker.distrust(now), n + 1.0));
-        let mean = sum / f64::max(count, 1.0);
-        self.distrust = mean;
+        self.survey(now);
+        let mean = self.distrust;
         for w in self.workers.iter_mut().filter(|w| w.distrust > 0.0) {
             if w.told != (w.doubt(now, mean) > if w.told { 0.1 } else { 0.5 }) {
                 w.told = !w.told;
@@ -213,6 +211,13 @@
         self.follow(now, acts);
     }
 
+    fn survey(&mut self, now: Nanos) {
+        let ready = || self.workers.iter().filter(|worker| worker.standing == Standing::Ready);
+        self.distrust = ready().map(|w| w.distrust(now)).sum::<f64>() / ready().count().max(1) as f64;
+        // Full capacity by what is known of the fleet: seats at their pace for its size, at the least.
+        self.unit = ready().map(|w| w.seats / w.pace / w.size).fold(f64::INFINITY, f64::min);
+    }
+
     fn says(&self, name: &str) -> f64 {
         self.figures.get(name).copied().unwrap_or(0.0)
     }
@@ -245,7 +250,14 @@
             let at = *self.known.entry(entry.worker).or_insert(self.workers.len());
             if at == self.workers.len() {
                 let (id, started) = (entry.worker, entry.started);
-                self.workers.push(Worker { id, started, seats: 2.0, pace: 1.0, ..Worker::default() });
+                self.workers.push(Worker {
+                    id,
+                    started,
+                    seats: 2.0,
+                    pace: 1.0,
+                    budget_at: now,
+                    ..Worker::default()
+                });
             }
             let worker = &mut self.workers[at];
             if entry.started != worker.started {
@@ -260,6 +272,7 @@
         order.retain(|at| self.workers[*at].standing == Standing::Ready);
         order.sort_unstable_by_key(|at| self.workers[*at].id);
         let (me, workers) = (self.says("me") as usize, &self.workers);
+        self.sharers = 1.0;
         for scheme in &mut self.schemes {
             let fits = |w: &usize| scheme.kind < 0 || i64::from(workers[*w].kind) == scheme.kind;
             scheme.all = order.iter().copied().filter(fits).collect();
@@ -275,10 +288,9 @@
                 *used.max_by_key(|at| workers[**at].alive).unwrap_or(&among[turn])
             };
             scheme.lanes = (0..m).map(pick).collect();
+            self.sharers = f64::max(self.sharers, self.dispatchers * m as f64 / (n as f64).max(1.0));
         }
-        // Full capacity by what is known of the fleet: seats at their pace for its size, at the least.
-        let known = self.workers.iter().filter(|w| w.standing != Standing::Gone);
-        self.unit = known.map(|w| w.seats / w.pace / w.size).fold(f64::INFINITY, f64::min);
+        self.survey(now);
         self.follow(now, acts);
     }
 
@@ -294,8 +306,10 @@
     /// What this dispatcher may still send to a cold worker now.
     fn budget(&self, worker: &Worker, now: Nanos) -> f64 {
         let capacity = self.unit * worker.size * self.warmth(worker, now);
-        // Half as a store and half as a flow keep any window under the whole; 0.7 for what hints miss.
-        let rate = 0.7 * self.says("fall.multiple") * capacity / self.dispatchers / 2.0;
+        // Half as a store and half as a flow keep any window under the whole; 0.5 for what hints miss.
+        // Half again as many may share it as by turns, where changes of the list moved some.
+        let sharers = (1.5 * self.sharers).min(self.dispatchers);
+        let rate = 0.5 * self.says("fall.multiple") * capacity / sharers / 2.0;
         let gained = rate * now.saturating_sub(worker.budget_at) as f64;
         (worker.budget + gained).min(rate * self.says("fall.window"))
     }
@@ -334,8 +348,10 @@
                 worker.out += hand.need;
                 // A job past its hint has, as such sizes go, about a third of its age still to run.
                 worker.ahead += hand.need * (hand.run * worker.pace - age).max(0.3 * age);
-                if posting.started.is_some() {
-                    worker.running += f64::from(hand.txn.slots);
+                if let Some(started) = posting.started {
+                    // What an earlier process ran is lost. Guards against taking its jobs for more seats.
+                    let lives = started >= worker.started;
+                    worker.running += if lives { f64::from(hand.txn.slots) } else { 0.0 };
                 } else {
                     let delay = posting.delay(now);
                     if delay > fade(worker.lag, worker.lag_at, now, SECOND) {
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -148,12 +148,12 @@
 }
 
 #[test_case(0 => 20; "a warm worker takes all")]
-#[test_case(1_000 => 5; "a cold one what its part of the budget holds")]
+#[test_case(100 => 4; "a cold one what its part of the budget holds")]
 fn budget_of_a_cold_worker(started: Nanos) -> usize {
     let mut d = dispatcher(0);
     d.schemes[0].sla = 4.5 * SECOND;
     let entries = vec![entry(0, Standing::Ready, started * MS)];
-    handle(&mut d, 1_000 * MS, Event::List { scope: Scope::Changes, entries });
+    handle(&mut d, started * MS, Event::List { scope: Scope::Changes, entries });
     let posts = (0..20).map(|n| handle(&mut d, 1_000 * MS, Event::Arrived(txn(n, 0, 40 * MS, 1_000 * MS))));
     posts.flatten().filter(|act| matches!(act, Action::Post { .. })).count()
 }
@@ -241,6 +241,18 @@
     assert_eq!(d.workers[0].seats, 2.0);
 }
 
+/// Guards against a cold worker pushed over: jobs lost with its old process were taken for more seats.
+#[test_case(0 => 3.0; "all of one process")]
+#[test_case(5 => 2.0; "those of an earlier one are lost")]
+fn seats_by_jobs_that_still_run(restarted: Nanos) -> f64 {
+    let mut d = dispatcher(1);
+    (0..3).for_each(|n| drop(handle(&mut d, 0, Event::Arrived(txn(n, 0, 100 * MS, 0)))));
+    (0..2).for_each(|txn| drop(handle(&mut d, MS, Event::Started { txn, leg: 0 })));
+    d.workers[0].started = restarted * MS;
+    handle(&mut d, 9 * MS, Event::Started { txn: 2, leg: 0 });
+    d.workers[0].seats
+}
+
 #[test]
 fn distrust_of_all_is_distrust_of_none() {
     let mut d = dispatcher(3);
--- a/src/state.rs
+++ b/src/state.rs
@@ -297,6 +297,8 @@
     /// How many there are, and the part that this one does not see: a lone one knows all that waits.
     pub(crate) dispatchers: f64,
     pub(crate) unseen: f64,
+    /// How many dispatchers keep to one worker.
+    pub(crate) sharers: f64,
     pub(crate) cut_at: Nanos,
     /// The start delay of late, over all workers.
     pub(crate) lag: f64,
