--- a/src/policy.rs
+++ b/src/policy.rs
@@ -591,8 +591,13 @@
         let Some((key, posting)) = self.posting(txn, leg) else { return };
         self.txns[key].legs[usize::from(leg)].out = false;
         self.read_report(now, posting.worker, report);
-        let run = self.txns[key].run;
+        let (run, due) = (self.txns[key].run, self.txns[key].due);
         let worker = &mut self.workers[posting.worker];
+        if sorted(outcome) == Input::NotRun {
+            // It takes nothing now, so its wait is this txn's whole room. Guards against a worker that is full,
+            // dead or drains unannounced: answering at once, it would look idle and draw all that waits.
+            (worker.lag, worker.lag_at) = (worker.lag.max(due.saturating_sub(now) as f64), now);
+        }
         match outcome {
             Outcome::Settled => {
                 if let Some(from) = posting.started {
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -232,6 +232,21 @@
     (lanes, users.iter().copied().min().unwrap(), users.iter().copied().max().unwrap())
 }
 
+/// Guards against a worker that is full or dead: answering at once, it looked idle and drew all that waited.
+#[test_case(Outcome::Full; "full")]
+#[test_case(Outcome::NoConnection; "dead")]
+fn a_worker_that_takes_nothing_is_passed_over(outcome: Outcome) {
+    let mut d = dispatcher(3);
+    let posted_to = |acts: &[Action]| match acts[..] {
+        [Action::Post { worker, .. }] => worker,
+        _ => panic!("{acts:?}"),
+    };
+    let first = posted_to(&handle(&mut d, MS, Event::Arrived(txn(1, 0, 100 * MS, MS))));
+    let ended = Ended { txn: 1, leg: 0, outcome, complete: false, report: Report::default() };
+    assert_ne!(posted_to(&handle(&mut d, 2 * MS, Event::Ended(ended))), first);
+    assert!(d.workers[d.known[&first]].lag > 0.2 * SECOND);
+}
+
 #[test]
 fn late_reports_do_not_add_seats() {
     let mut d = dispatcher(1);
