Forget late starts more slowly where this dispatcher sees few

Cause: how many txns started late was halved each second, but at full size a dispatcher sees a start in one or two seconds, so the measure was gone before it could bind and jams stayed. Now it halves in up to 5 s, by how few jobs the histogram holds. Told from a lack of workers by most refused and yet a quarter to a third late.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -180,6 +180,7 @@
             figures,
             list_asked: pick::<String>(map, "list.mode")? == "asked",
             lag_at: now,
+            rare: 1.0,
             ..Dispatcher::default()
         })
     }
@@ -393,7 +394,7 @@
             acts.push(Action::Probe { worker: self.workers[at].id });
             self.asked.push((at, txn.id, now));
         }
-        let room = (due - now) as f64 - run;
+        let room = due.saturating_sub(now) as f64 - run;
         acts.push(Action::Timer { at: now + (room.max(0.0) / 20.0) as Nanos, token: token(txn.id, 0) });
         true
     }
@@ -477,7 +478,8 @@
         scheme.add(work);
         // Half the histogram's weight is of the last 20 s, or of longer where that is under some 150 jobs.
         let seen = self.schemes.iter().map(|scheme| scheme.seen).sum::<f64>();
-        let keep = fade(1.0, self.cut_at, now, 20.0 * SECOND * (150.0 / seen).max(1.0));
+        self.rare = (150.0 / seen).max(1.0);
+        let keep = fade(1.0, self.cut_at, now, 20.0 * SECOND * self.rare);
         self.cut_at = now;
         self.schemes.iter_mut().for_each(|scheme| scheme.age(keep));
         let scheme = &self.schemes[usize::from(txn.scheme)];
@@ -514,8 +516,9 @@
     fn kept(&mut self, now: Nanos, key: usize, strain: f64) -> bool {
         let value = self.schemes[usize::from(self.txns[key].txn.scheme)].value.max(1e-9);
         let most = self.schemes.iter().map(|scheme| scheme.value).fold(0.0, f64::max);
-        // Forgotten within seconds if nothing starts. Guards against turning all away for ever.
-        let late = fade(self.late, self.lag_at, now, SECOND);
+        // Forgotten if nothing starts: half in 1 s, or up to 5 s where this dispatcher sees fewer jobs. Guards
+        // against turning all away for ever, and against forgetting from one rare start to the next.
+        let late = fade(self.late, self.lag_at, now, SECOND * self.rare.min(5.0));
         let fits = (3.0 - 2.0 * strain * (1.0 + 3.0 * late)).clamp(0.0, 1.0);
         fits >= 1.0 || self.chance.unit() < fits.powf(most / value)
     }
@@ -577,12 +580,9 @@
         let worker = &mut self.workers[posting.worker];
         // A worker that has shown life since is only busy; one that has not may be hung.
         let silent = posting.started.is_none() && worker.alive < posting.at;
+        let by = if silent { 0.8 } else { f64::from(posting.started.is_some()) * 0.15 };
+        worker.blame(now, by);
         let age = now - posting.started.unwrap_or(posting.at);
-        if posting.started.is_some() {
-            worker.blame(now, 0.15);
-        } else if silent {
-            worker.blame(now, 0.8);
-        }
         acts.push(Action::Timer { at: now + age.max(300_000_000), token });
     }
 
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -195,6 +195,16 @@
     acts.iter().any(|act| matches!(act, Action::Timer { at, .. } if *at > now + 1_000 * MS))
 }
 
+/// Guards against a jam that stays: between two rare starts the late ones were forgotten.
+#[test_case(1.0 => true; "where many are seen")]
+#[test_case(5.0 => false; "where few are")]
+fn late_starts_are_forgotten_in_two_seconds(rare: f64) -> bool {
+    let mut d = dispatcher(1);
+    (d.late, d.rare, d.lag_at) = (1.0, rare, 0);
+    let key = d.txns.insert(InHand::new(txn(1, 2, MS, 0), Repeatable, 1.0, 1.0, 1.0, 0));
+    (0..20).all(|_| d.kept(3_000 * MS, key, 0.6))
+}
+
 /// Guards against a stale view: with many dispatchers a lane's worker is mostly unheard of.
 #[test_case(&[(1, 2.0), (0, 0.0), (2, 0.0)] => Some(1); "the one with a free seat")]
 #[test_case(&[(1, 2.0)] => None; "all answers are waited for")]
--- a/src/state.rs
+++ b/src/state.rs
@@ -300,6 +300,8 @@
     /// How many dispatchers keep to one worker.
     pub(crate) sharers: f64,
     pub(crate) cut_at: Nanos,
+    /// How much less than 150 jobs the histogram holds: 1 where there are as many.
+    pub(crate) rare: f64,
     /// The start delay of late, over all workers.
     pub(crate) lag: f64,
     pub(crate) lag_at: Nanos,
