Measure the fleet's delay in rooms of the txn, not in time

Cause: lanes hold txns of one size, so a delay of seconds is usual for large ones and ruin for small ones. Now a start's delay counts as a part of its txn's room, 1.5 at most, past which none is sent, and is turned back by the room of the txn at hand.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -202,9 +202,8 @@
         acts.push(Action::Timer { at: now + BEAT_EVERY, token: BEAT });
         self.gaps.iter_mut().for_each(|gaps| gaps.measure(now));
         self.survey(now);
-        let mean = self.distrust;
         for w in self.workers.iter_mut().filter(|w| w.distrust > 0.0) {
-            if w.told != (w.doubt(now, mean) > if w.told { 0.1 } else { 0.5 }) {
+            if w.told != (w.doubt(now, self.distrust) > if w.told { 0.1 } else { 0.5 }) {
                 w.told = !w.told;
                 acts.push(Action::Say(format!("worker {}: distrusted {}", w.id, w.told)));
             }
@@ -308,7 +307,7 @@
     fn budget(&self, worker: &Worker, now: Nanos) -> f64 {
         let capacity = self.unit * worker.size * self.warmth(worker, now);
         // Half as a store and half as a flow keep any window under the whole; 0.5 for what hints miss.
-        // Half again as many may share it as by turns, where changes of the list moved some.
+        // As many again by half may share it as by turns, where changes of the list moved some.
         let sharers = (1.5 * self.sharers).min(self.dispatchers);
         let rate = 0.5 * self.says("fall.multiple") * capacity / sharers / 2.0;
         let gained = rate * now.saturating_sub(worker.budget_at) as f64;
@@ -425,7 +424,7 @@
         // Where a repeat is bound to a group, its workers may be any in the list.
         let bound = doubt.filter(|_| effect == Referenced);
         let (lanes, mean) = (if bound.is_some() { &scheme.all } else { &scheme.lanes }, scheme.mean());
-        let fleet = (self.unseen * fade(self.lag, self.lag_at, now, SECOND), self.others);
+        let fleet = self.unseen * fade(self.lag, self.lag_at, now, SECOND);
         let (mut least, mut best) = (f64::INFINITY, None);
         for step in 0..2 * lanes.len() {
             let far = step.div_ceil(2);
@@ -449,7 +448,7 @@
                 continue;
             }
             let room = (due.saturating_sub(now) as f64 - run * worker.pace).max(1.0);
-            let wait = worker.wait(now, need, mean, fleet);
+            let wait = worker.wait(now, need, mean, (fleet * room, self.others));
             let strain = wait / room;
             // Taken when there is a seat for it in this dispatcher's part, the worker is not distrusted, and
             // it would start about at once: a twentieth of the room before the SLA time is within error.
@@ -516,8 +515,8 @@
     fn kept(&mut self, now: Nanos, key: usize, strain: f64) -> bool {
         let value = self.schemes[usize::from(self.txns[key].txn.scheme)].value.max(1e-9);
         let most = self.schemes.iter().map(|scheme| scheme.value).fold(0.0, f64::max);
-        // Forgotten if nothing starts: half in 1 s, or up to 5 s where this dispatcher sees fewer jobs. Guards
-        // against turning all away for ever, and against forgetting from one rare start to the next.
+        // Forgotten if nothing starts: half in 1 s, or up to 5 s where few jobs are seen. Guards against
+        // turning all away for ever, and against forgetting from one rare start to the next.
         let late = fade(self.late, self.lag_at, now, SECOND * self.rare.min(5.0));
         let fits = (3.0 - 2.0 * strain * (1.0 + 3.0 * late)).clamp(0.0, 1.0);
         fits >= 1.0 || self.chance.unit() < fits.powf(most / value)
@@ -552,9 +551,11 @@
         let worker = &mut self.workers[posting.worker];
         worker.clear(now, 0.1);
         (worker.lag, worker.lag_at) = (posting.delay(now), now);
-        // The fleet's delay is the mean of about the last ten starts.
-        (self.lag, self.lag_at) = (self.lag + 0.1 * (worker.lag - self.lag), now);
         let hand = &self.txns[key];
+        // The fleet's delay, in rooms of the txn (past 1.5 none is sent), is the mean of some ten starts.
+        let room = hand.due.saturating_sub(posting.at) as f64 - hand.run * worker.pace;
+        let delay = (worker.lag / room.max(1e6)).min(1.5);
+        (self.lag, self.lag_at) = (self.lag + 0.1 * (delay - self.lag), now);
         let late = now as f64 + hand.run * worker.pace > hand.due as f64;
         self.late += 0.05 * (f64::from(late) - self.late);
         let run = 2.0 * hand.run * worker.pace + 0.5 * SECOND;
@@ -594,8 +595,8 @@
         let (run, due) = (self.txns[key].run, self.txns[key].due);
         let worker = &mut self.workers[posting.worker];
         if sorted(outcome) == Input::NotRun {
-            // It takes nothing now, so its wait is this txn's whole room. Guards against a worker that is full,
-            // dead or drains unannounced: answering at once, it would look idle and draw all that waits.
+            // Its wait is this txn's whole room. Guards against a worker that is full, dead or drains
+            // unannounced: answering at once, it would look idle and draw all that waits.
             (worker.lag, worker.lag_at) = (worker.lag.max(due.saturating_sub(now) as f64), now);
         }
         match outcome {
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -195,6 +195,16 @@
     acts.iter().any(|act| matches!(act, Action::Timer { at, .. } if *at > now + 1_000 * MS))
 }
 
+/// Guards against small txns turned away for the waits that large ones can bear.
+#[test_case(10_000, 5_000 => true; "half of a large room")]
+#[test_case(100, 5_000 => false; "many of a small room")]
+fn delays_count_by_the_room_they_fill(hint: Nanos, wait: Nanos) -> bool {
+    let mut d = dispatcher(1);
+    drop(handle(&mut d, MS, Event::Arrived(Txn { expiry: 60_000 * MS, ..txn(1, 0, hint * MS, 0) })));
+    handle(&mut d, wait * MS, Event::Started { txn: 1, leg: 0 });
+    d.lag < 0.1
+}
+
 /// Guards against a jam that stays: between two rare starts the late ones were forgotten.
 #[test_case(1.0 => true; "where many are seen")]
 #[test_case(5.0 => false; "where few are")]
