--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -299,6 +299,26 @@
     assert!(d.workers[1].doubt(0, d.distrust) > 0.1 && d.workers[0].doubt(0, d.distrust) == 0.0);
 }
 
+/// Sizes at which a division by nothing or a place past the end would show.
+#[test_case(0, 1; "no worker")]
+#[test_case(1, 1; "one of each")]
+#[test_case(1, 1_000; "one worker of a thousand dispatchers")]
+#[test_case(1_000, 1; "a thousand workers of one dispatcher")]
+#[test_case(1_000, 1_000; "a thousand of each")]
+fn any_size_of_fleet(workers: u16, dispatchers: u32) {
+    let mut d = dispatcher(0);
+    (d.dispatchers, d.unseen) = (f64::from(dispatchers), 1.0 - 1.0 / f64::from(dispatchers));
+    d.figures.insert("me", f64::from(dispatchers - 1));
+    let listed =
+        |n: u16| Listed { worker: WorkerId { addr: [10; 4], port: n }, ..entry(0, Standing::Ready, 0) };
+    let entries = (0..workers).map(listed).collect();
+    d.handle(0, Event::List { scope: Scope::Whole, entries }, &mut Vec::new());
+    let acts: Vec<Action> =
+        (1..40).flat_map(|n| handle(&mut d, 0, Event::Arrived(txn(n, 2, 100 * MS, 0)))).collect();
+    let (posted, wanted) = (acts.iter().any(|act| matches!(act, Action::Post { .. })), workers > 0);
+    assert!(posted == wanted && d.schemes[2].lanes.len() <= usize::from(workers));
+}
+
 /// What a long sequence remembers of one txn, to hold the rules against.
 #[derive(Default)]
 struct Record {
@@ -311,14 +331,19 @@
 }
 
 /// Legal events in random order; every action is held against the four rules.
-#[test_case(1)]
-#[test_case(2)]
-#[test_case(3)]
-#[test_case(4)]
-#[test_case(5)]
-fn the_four_rules_hold(seed: u64) {
-    let (mut d, mut dice, mut acts) = (dispatcher(6), Pcg::new(seed), Vec::new());
-    let (mut standing, mut started) = ([Standing::Ready; 6], [0; 6]);
+#[test_case(1, 6, 2)]
+#[test_case(2, 6, 2)]
+#[test_case(3, 6, 2)]
+#[test_case(4, 1, 2; "one worker")]
+#[test_case(5, 200, 600; "a large fleet")]
+#[test_case(6, 60, 100; "cold starts at most of the workers kept to")]
+fn the_four_rules_hold(seed: u64, workers: u8, dispatchers: u32) {
+    let (mut d, mut dice, mut acts) = (dispatcher(0), Pcg::new(seed), Vec::new());
+    (d.dispatchers, d.unseen) = (f64::from(dispatchers), 1.0 - 1.0 / f64::from(dispatchers));
+    let entries = (0..workers).map(|n| entry(n, Standing::Ready, 0)).collect();
+    d.handle(0, Event::List { scope: Scope::Whole, entries }, &mut acts);
+    let fleet = usize::from(workers);
+    let (mut standing, mut started) = (vec![Standing::Ready; fleet], vec![0; fleet]);
     let mut timers: Vec<(Nanos, u64)> = Vec::new();
     let mut txns: BTreeMap<TxnId, Record> = BTreeMap::new();
     let (mut cold, mut full): (Vec<(usize, Nanos, f64)>, f64) = (Vec::new(), 0.0);
@@ -326,7 +351,9 @@
         let now = u64::from(step) * 10 * MS;
         let mut events = Vec::new();
         if dice.unit() < 0.02 {
-            let n = (dice.unit() * 6.0) as usize;
+            let kept = &d.schemes[0].lanes;
+            let any = (dice.unit() * f64::from(workers)) as usize;
+            let n = if fleet > 6 && !kept.is_empty() { kept[any % kept.len()] } else { any };
             standing[n] = [Standing::Ready, Standing::Draining, Standing::Gone][(dice.unit() * 3.0) as usize];
             started[n] = if standing[n] == Standing::Ready { now } else { started[n] };
             let entries = vec![entry(n as u8, standing[n], started[n])];
@@ -395,7 +422,7 @@
                         };
                         let sent: f64 = cold.iter().filter(recent).map(|(_, _, work)| work).sum();
                         let warmth = 0.2 + 0.8 * (now - started[n]) as f64 / 10e9;
-                        let part = 3.0 * full * SECOND / 2.0 * warmth;
+                        let part = 3.0 * full * SECOND / f64::from(dispatchers.min(12)) * warmth;
                         assert!(started[n] == 0 || warmth > 1.0 || sent < part, "cold pushed over");
                         record.out.push((record.sent, n, now));
                         record.sent += 1;
@@ -414,5 +441,6 @@
         }
     }
     assert!(txns.values().all(|record| record.answers == 1), "a txn without its one answer");
-    assert!(d.txns.is_empty() && txns.values().any(|record| record.sent > 1));
+    assert!(d.txns.is_empty(), "kept {:?}", d.txns.iter().next());
+    assert!(txns.values().any(|record| record.sent > u8::from(workers > 1)));
 }
