Keep all that starts tell up to three times longer where few jobs are seen

One measure, how far the histogram is under 150 jobs, now stretches the histogram, the weight of a late start, its fading and the fleet's delay, three times at most.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -424,7 +424,7 @@
         // Where a repeat is bound to a group, its workers may be any in the list.
         let bound = doubt.filter(|_| effect == Referenced);
         let (lanes, mean) = (if bound.is_some() { &scheme.all } else { &scheme.lanes }, scheme.mean());
-        let fleet = self.unseen * fade(self.lag, self.lag_at, now, SECOND);
+        let fleet = self.unseen * fade(self.lag, self.lag_at, now, SECOND * self.rare);
         let (mut least, mut best) = (f64::INFINITY, None);
         for step in 0..2 * lanes.len() {
             let far = step.div_ceil(2);
@@ -475,9 +475,9 @@
         // A job waits until both its slots and its memory fit; a worker has a unit of memory a slot.
         let (work, need) = (run * slots, slots.max(f64::from(txn.memory)));
         scheme.add(work);
-        // Half the histogram's weight is of the last 20 s, or of longer where that is under some 150 jobs.
+        // Halves in 20 s, or under 150 jobs in up to 60 s, by when the mix moves; what starts tell likewise.
         let seen = self.schemes.iter().map(|scheme| scheme.seen).sum::<f64>();
-        self.rare = (150.0 / seen).max(1.0);
+        self.rare = (150.0 / seen).clamp(1.0, 3.0);
         let keep = fade(1.0, self.cut_at, now, 20.0 * SECOND * self.rare);
         self.cut_at = now;
         self.schemes.iter_mut().for_each(|scheme| scheme.age(keep));
@@ -510,14 +510,14 @@
     }
 
     /// Overload: a txn with too little of its room left after waiting is turned away by chance, the cheaper
-    /// ones more often, and sooner the more of the last twenty or so txns started too late. Guards against
+    /// ones more often, and sooner the more of the last seven to twenty started too late. Guards against
     /// a jam that keeps itself up, and, waits being guesses, against declines while all goes well.
     fn kept(&mut self, now: Nanos, key: usize, strain: f64) -> bool {
         let value = self.schemes[usize::from(self.txns[key].txn.scheme)].value.max(1e-9);
         let most = self.schemes.iter().map(|scheme| scheme.value).fold(0.0, f64::max);
-        // Forgotten if nothing starts: half in 1 s, or up to 5 s where few jobs are seen. Guards against
+        // Forgotten if nothing starts: half in 1 s, or up to 3 s where few jobs are seen. Guards against
         // turning all away for ever, and against forgetting from one rare start to the next.
-        let late = fade(self.late, self.lag_at, now, SECOND * self.rare.min(5.0));
+        let late = fade(self.late, self.lag_at, now, SECOND * self.rare);
         let fits = (3.0 - 2.0 * strain * (1.0 + 3.0 * late)).clamp(0.0, 1.0);
         fits >= 1.0 || self.chance.unit() < fits.powf(most / value)
     }
@@ -557,7 +557,7 @@
         let delay = (worker.lag / room.max(1e6)).min(1.5);
         (self.lag, self.lag_at) = (self.lag + 0.1 * (delay - self.lag), now);
         let late = now as f64 + hand.run * worker.pace > hand.due as f64;
-        self.late += 0.05 * (f64::from(late) - self.late);
+        self.late += 0.05 * self.rare * (f64::from(late) - self.late);
         let run = 2.0 * hand.run * worker.pace + 0.5 * SECOND;
         let (kind, running) = (worker.kind, worker.running);
         self.seats(kind, running);
--- a/src/state.rs
+++ b/src/state.rs
@@ -300,7 +300,7 @@
     /// How many dispatchers keep to one worker.
     pub(crate) sharers: f64,
     pub(crate) cut_at: Nanos,
-    /// How much less than 150 jobs the histogram holds: 1 where there are as many.
+    /// How rare jobs are here: 1 where the histogram holds 150 or more, up to 3.
     pub(crate) rare: f64,
     /// The start delay of late, over all workers.
     pub(crate) lag: f64,
