Cut the lanes once for each placing; say a txn's room in one place

A placing drew its lanes twice, once to probe and once to choose; now once. The time to spare before a txn is due was written out in three places and is now InHand::room. The test for more seats stood twice in one loop. The rule tests still fail with the cold budget or the drains ignored.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -376,14 +376,14 @@
     }
 
     /// Probes the lane's worker and its id neighbours, where it was not heard of for a second.
-    fn ask(&mut self, now: Nanos, key: usize, acts: &mut Vec<Action>) -> bool {
+    fn ask(&mut self, now: Nanos, key: usize, lane: usize, acts: &mut Vec<Action>) -> bool {
         // Without reports a probe says too little for its work.
         let useful = self.says("probe.allowed") > 0.0 && self.report_at != [None; 2];
         if !useful || std::mem::replace(&mut self.txns[key].asked, true) {
             return false;
         }
-        let lane = self.lane(now, key);
-        let InHand { txn, due, run, .. } = self.txns[key];
+        let hand = &self.txns[key];
+        let txn = hand.txn;
         let lanes = &self.schemes[usize::from(txn.scheme)].lanes;
         let unheard = |at: &usize| now - self.workers[*at].alive > SECOND as Nanos;
         if !lanes.get(lane).is_some_and(unheard) {
@@ -393,8 +393,8 @@
             acts.push(Action::Probe { worker: self.workers[at].id });
             self.asked.push((at, txn.id, now));
         }
-        let room = due.saturating_sub(now) as f64 - run;
-        acts.push(Action::Timer { at: now + (room.max(0.0) / 20.0) as Nanos, token: token(txn.id, 0) });
+        let limit = hand.room(now, 1.0).max(0.0) / 20.0;
+        acts.push(Action::Timer { at: now + limit as Nanos, token: token(txn.id, 0) });
         true
     }
 
@@ -416,10 +416,10 @@
 
     /// The worker for a txn, and how long it would wait there: its lane's, or the nearest id neighbour
     /// that can start it soon enough; failing that, the one with the least to wait.
-    fn choose(&mut self, now: Nanos, key: usize) -> Option<(usize, f64, f64)> {
+    fn choose(&mut self, now: Nanos, key: usize, mine: usize) -> Option<(usize, f64, f64)> {
         self.tally(now);
-        let mine = self.lane(now, key);
-        let InHand { txn, effect, work, run, need, due, doubt, .. } = self.txns[key];
+        let hand = &self.txns[key];
+        let InHand { txn, effect, work, need, doubt, .. } = *hand;
         let scheme = &self.schemes[usize::from(txn.scheme)];
         // Where a repeat is bound to a group, its workers may be any in the list.
         let bound = doubt.filter(|_| effect == Referenced);
@@ -447,7 +447,7 @@
             if self.warmth(worker, now) < 1.0 && self.budget(worker, now) < work {
                 continue;
             }
-            let room = (due.saturating_sub(now) as f64 - run * worker.pace).max(1.0);
+            let room = hand.room(now, worker.pace).max(1.0);
             let wait = worker.wait(now, need, mean, (fleet * room, self.others));
             let strain = wait / room;
             // Taken when there is a seat for it in this dispatcher's part, the worker is not distrusted, and
@@ -494,10 +494,11 @@
         if posted >= self.most_postings || now >= expiry {
             return self.input(now, id, Input::GivenUp, acts);
         }
-        if self.ask(now, key, acts) {
+        let lane = self.lane(now, key);
+        if self.ask(now, key, lane, acts) {
             return;
         }
-        match self.choose(now, key) {
+        match self.choose(now, key, lane) {
             Some((at, cost, strain)) if posted > 0 || self.kept(now, key, strain) => {
                 self.post(now, key, at, cost, acts);
             }
@@ -553,8 +554,7 @@
         (worker.lag, worker.lag_at) = (posting.delay(now), now);
         let hand = &self.txns[key];
         // The fleet's delay, in rooms of the txn (past 1.5 none is sent), is the mean of some ten starts.
-        let room = hand.due.saturating_sub(posting.at) as f64 - hand.run * worker.pace;
-        let delay = (worker.lag / room.max(1e6)).min(1.5);
+        let delay = (worker.lag / hand.room(posting.at, worker.pace).max(1e6)).min(1.5);
         (self.lag, self.lag_at) = (self.lag + 0.1 * (delay - self.lag), now);
         let late = now as f64 + hand.run * worker.pace > hand.due as f64;
         self.late += 0.05 * self.rare * (f64::from(late) - self.late);
@@ -623,7 +623,7 @@
     /// Workers of one kind have as many seats as any of them was seen to fill.
     fn seats(&mut self, kind: u8, seen: f64) {
         for worker in self.workers.iter_mut().filter(|worker| worker.kind == kind && worker.seats < seen) {
-            worker.seats = worker.seats.max(seen);
+            worker.seats = seen;
         }
     }
 
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -4,8 +4,8 @@
 use test_case::test_case;
 
 const MS: Nanos = 1_000_000;
-const SETTINGS: &str = "dispatchers=2 me=0 probe.allowed=true posting.most=4 come_back.allowed=true come_back.most=2000000000 \
-    tells_start=true cold.from=0.2 cold.time=10e9 fall.multiple=3 fall.window=1e9 \
+const SETTINGS: &str = "dispatchers=2 me=0 probe.allowed=true posting.most=4 come_back.allowed=true \
+    come_back.most=2000000000 tells_start=true cold.from=0.2 cold.time=10e9 fall.multiple=3 fall.window=1e9 \
     report.fields=inflight,free-slots list.mode=asked scheme.count=3 \
     scheme.0.effect=repeatable scheme.0.group=all scheme.0.window=0 scheme.0.sla=3e8 scheme.0.value=1 \
     scheme.1.effect=referenced scheme.1.group=cell scheme.1.window=400000000 scheme.1.sla=3e8 scheme.1.value=5 \
@@ -25,14 +25,26 @@
     Listed { worker: id(n), standing, zone: 0, kind: 0, size: 2.0, started, group: u16::from(n % 2) }
 }
 
-/// A dispatcher that has heard of so many workers, all warm.
-fn dispatcher(workers: u8) -> Dispatcher {
-    let mut d = Dispatcher::start(0, 7, &settings()).unwrap();
-    let entries = (0..workers).map(|n| entry(n, Standing::Ready, 0)).collect();
+/// One of so many dispatchers, with the list it kept.
+fn among(dispatchers: u32, me: u32, entries: Vec<Listed>) -> Dispatcher {
+    let mut map = settings();
+    map.insert("dispatchers".into(), dispatchers.to_string());
+    map.insert("me".into(), me.to_string());
+    let mut d = Dispatcher::start(0, 7, &map).unwrap();
     d.handle(0, Event::List { scope: Scope::Kept, entries }, &mut Vec::new());
     d
 }
 
+/// So many workers, all warm.
+fn warm(workers: u8) -> Vec<Listed> {
+    (0..workers).map(|n| entry(n, Standing::Ready, 0)).collect()
+}
+
+/// One of two dispatchers that has heard of so many workers, all warm.
+fn dispatcher(workers: u8) -> Dispatcher {
+    among(2, 0, warm(workers))
+}
+
 fn txn(id: TxnId, scheme: u8, hint: Nanos, now: Nanos) -> Txn {
     Txn { id, scheme, party: 0, hint: Some(hint), slots: 1.0, memory: 0.5, expiry: now + 5_000 * MS }
 }
@@ -241,11 +253,7 @@
 fn workers_are_shared_evenly(dispatchers: u32, workers: u8) -> (usize, usize, usize) {
     let (mut users, mut lanes) = (vec![0; usize::from(workers)], 0);
     for me in 0..dispatchers {
-        let mut d = dispatcher(0);
-        d.dispatchers = f64::from(dispatchers);
-        d.figures.insert("me", f64::from(me));
-        let entries = (0..workers).map(|n| entry(n, Standing::Ready, 0)).collect();
-        d.handle(0, Event::List { scope: Scope::Whole, entries }, &mut Vec::new());
+        let d = among(dispatchers, me, warm(workers));
         lanes = d.schemes[0].lanes.len();
         d.schemes[0].lanes.iter().for_each(|at| users[*at] += 1);
     }
@@ -306,13 +314,9 @@
 #[test_case(1_000, 1; "a thousand workers of one dispatcher")]
 #[test_case(1_000, 1_000; "a thousand of each")]
 fn any_size_of_fleet(workers: u16, dispatchers: u32) {
-    let mut d = dispatcher(0);
-    (d.dispatchers, d.unseen) = (f64::from(dispatchers), 1.0 - 1.0 / f64::from(dispatchers));
-    d.figures.insert("me", f64::from(dispatchers - 1));
     let listed =
         |n: u16| Listed { worker: WorkerId { addr: [10; 4], port: n }, ..entry(0, Standing::Ready, 0) };
-    let entries = (0..workers).map(listed).collect();
-    d.handle(0, Event::List { scope: Scope::Whole, entries }, &mut Vec::new());
+    let mut d = among(dispatchers, dispatchers - 1, (0..workers).map(listed).collect());
     let acts: Vec<Action> =
         (1..40).flat_map(|n| handle(&mut d, 0, Event::Arrived(txn(n, 2, 100 * MS, 0)))).collect();
     let (posted, wanted) = (acts.iter().any(|act| matches!(act, Action::Post { .. })), workers > 0);
@@ -338,10 +342,8 @@
 #[test_case(5, 200, 600; "a large fleet")]
 #[test_case(6, 60, 100; "cold starts at most of the workers kept to")]
 fn the_four_rules_hold(seed: u64, workers: u8, dispatchers: u32) {
-    let (mut d, mut dice, mut acts) = (dispatcher(0), Pcg::new(seed), Vec::new());
-    (d.dispatchers, d.unseen) = (f64::from(dispatchers), 1.0 - 1.0 / f64::from(dispatchers));
-    let entries = (0..workers).map(|n| entry(n, Standing::Ready, 0)).collect();
-    d.handle(0, Event::List { scope: Scope::Whole, entries }, &mut acts);
+    let (mut dice, mut acts) = (Pcg::new(seed), Vec::new());
+    let mut d = among(dispatchers, 0, warm(workers));
     let fleet = usize::from(workers);
     let (mut standing, mut started) = (vec![Standing::Ready; fleet], vec![0; fleet]);
     let mut timers: Vec<(Nanos, u64)> = Vec::new();
--- a/src/state.rs
+++ b/src/state.rs
@@ -114,6 +114,11 @@
             doubt: None,
         }
     }
+
+    /// The time to spare before it is due, from a moment on, at a worker of such a pace.
+    pub fn room(&self, from: Nanos, pace: f64) -> f64 {
+        self.due.saturating_sub(from) as f64 - self.run * pace
+    }
 }
 
 #[derive(Default)]
