Read the configuration anew at SIGHUP: move the watch on the list, take new limits

Ruled out: a fault in what was reloaded; nothing had been read, the signal's default action ended it. At fault: life/start.rs asked for SIGTERM, SIGINT and SIGUSR1 only, and wire/discovery_io.rs held one address for its whole life. Now: the file is read again; the watch moves to its discovery at once, with the whole list first, and the limits hold. A file that cannot be used changes nothing.

--- a/crates/rosewalld/src/kept/budget.rs
+++ b/crates/rosewalld/src/kept/budget.rs
@@ -13,8 +13,8 @@
 const CLIENT_BYTES: usize = 400 * 1024;
 
 pub struct Budget {
-    most: usize,
-    most_clients: usize,
+    most: Cell<usize>,
+    most_clients: Cell<usize>,
     used: Cell<usize>,
     clients: Cell<usize>,
     /// Idle clients, oldest first, each with a way to tell it to close.
@@ -39,16 +39,26 @@
 
 impl Budget {
     pub fn new(sockets: usize, memory_mb: usize) -> Self {
-        let (most, none) = (sockets.saturating_sub(KEPT_BACK).max(2), Cell::new(0));
+        let none = Cell::new(0);
+        let (idle, serial) = (RefCell::default(), Cell::default());
+        let (most, most_clients) = (none.clone(), none.clone());
+        let budget = Budget { most, most_clients, used: none.clone(), clients: none, idle, serial };
+        budget.limit(sockets, memory_mb);
+        budget
+    }
+
+    /// Sets the limits; what is over a lower one ends as it falls idle.
+    pub fn limit(&self, sockets: usize, memory_mb: usize) {
+        let most = sockets.saturating_sub(KEPT_BACK).max(2);
         // Clients hold half at most: each has one txn at a time, and a txn one posting. And what they hold at
         // worst fits in three quarters of the memory.
         let most_clients = (most / 2).min(memory_mb * 1024 * 1024 / 4 * 3 / CLIENT_BYTES).max(1);
-        let (idle, serial) = (RefCell::default(), Cell::default());
-        Budget { most, most_clients, used: none.clone(), clients: none, idle, serial }
+        self.most.set(most);
+        self.most_clients.set(most_clients);
     }
 
     pub fn client(self: &Rc<Self>) -> Option<Slot> {
-        if self.clients.get() >= self.most_clients {
+        if self.clients.get() >= self.most_clients.get() {
             return None;
         }
         let slot = self.slot(true)?;
@@ -61,7 +71,7 @@
     }
 
     fn slot(self: &Rc<Self>, client: bool) -> Option<Slot> {
-        if self.used.get() >= self.most {
+        if self.used.get() >= self.most.get() {
             return None;
         }
         self.used.set(self.used.get() + 1);
--- a/crates/rosewalld/src/life/given.rs
+++ b/crates/rosewalld/src/life/given.rs
@@ -33,6 +33,13 @@
     pub map: Map,
 }
 
+/// Reads the file that is named.
+pub fn load(path: &str) -> Result<Given, String> {
+    let text =
+        std::fs::read(path).map_err(|error| format!("cannot read the configuration {path}: {error}"))?;
+    read(&text).map_err(|fault| format!("cannot use the configuration {path}: {fault}"))
+}
+
 /// Reads the file's text.
 pub fn read(text: &[u8]) -> Result<Given, String> {
     let file: File = serde_json::from_slice(text).map_err(|error| error.to_string())?;
--- a/crates/rosewalld/src/life/start.rs
+++ b/crates/rosewalld/src/life/start.rs
@@ -7,6 +7,7 @@
 use crate::kept::shared::Shared;
 use crate::life::{given, stop};
 use crate::wire::{client_io, discovery, discovery_io};
+use async_channel::Sender;
 use async_executor::LocalExecutor;
 use async_io::Async;
 use async_signal::{Signal, Signals};
@@ -15,21 +16,18 @@
 use rosewall::policy::Dispatcher;
 use rosewall::types::Nanos;
 use std::cell::{Cell, RefCell};
-use std::net::TcpListener;
+use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
 
 pub fn run() -> Result<(), String> {
     let path =
         std::env::var("PROXY_CONFIG").map_err(|_| "PROXY_CONFIG names no configuration".to_string())?;
-    let text =
-        std::fs::read(&path).map_err(|error| format!("cannot read the configuration {path}: {error}"))?;
-    let given =
-        given::read(&text).map_err(|fault| format!("cannot use the configuration {path}: {fault}"))?;
+    let given = given::load(&path)?;
     let ex = Rc::new(LocalExecutor::new());
-    async_io::block_on(ex.run(serve(given, ex.clone())))
+    async_io::block_on(ex.run(serve(&path, given, ex.clone())))
 }
 
-async fn serve(given: given::Given, ex: Rc<LocalExecutor<'static>>) -> Result<(), String> {
+async fn serve(path: &str, given: given::Given, ex: Rc<LocalExecutor<'static>>) -> Result<(), String> {
     let map = &given.map;
     let clock = Clock::start();
     let names = given::names(map);
@@ -55,7 +53,7 @@
         news: tell,
         names,
     });
-    let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Usr1])
+    let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Usr1, Signal::Hup])
         .map_err(|error| format!("cannot listen to signals: {error}"))?;
     let listener = TcpListener::bind(given.listen)
         .and_then(Async::new)
@@ -74,13 +72,19 @@
     };
     hub.kept(kept);
     let mut hub = ex.spawn(hub.run());
-    let mut list = ex.spawn(discovery_io::follow(shared.clone(), given.discovery, asked.then_some(left)));
+    let (mover, moves) = async_channel::unbounded();
+    let leave = asked.then_some(left);
+    let mut list = ex.spawn(discovery_io::follow(shared.clone(), given.discovery, moves, leave));
     let (end, ended) = async_channel::bounded(1);
     let accepting = ex.spawn(client_io::accept(shared.clone(), ex.clone(), listener, ended));
     log::info!("listening on {listening}");
     let told = async {
-        while let Some(Ok(Signal::Usr1)) = signals.next().await {
-            log::info!("{}", shared.counters);
+        while let Some(Ok(signal)) = signals.next().await {
+            match signal {
+                Signal::Usr1 => log::info!("{}", shared.counters),
+                Signal::Hup => reload(&shared, path, &given, &mover),
+                _ => break,
+            }
         }
     };
     // Neither ends by itself. Guards against a program that still accepts after a fault in one of them.
@@ -90,3 +94,18 @@
     log::info!("stopped; {}", shared.counters);
     Ok(())
 }
+
+/// Takes in the configuration anew: where discovery is, and the limits. Guards against an end of the program at the
+/// signal, and against a list of workers that no longer changes. One that cannot be read changes nothing.
+fn reload(shared: &Shared, path: &str, first: &given::Given, mover: &Sender<SocketAddr>) {
+    let given = match given::load(path) {
+        Ok(given) => given,
+        Err(fault) => return log::error!("the configuration stays as it was: {fault}"),
+    };
+    if (given.listen, &given.map) != (first.listen, &first.map) {
+        log::warn!("a new listen address and new settings act from the next start only");
+    }
+    shared.budget.limit(given.sockets, given.memory_mb);
+    let _ = mover.try_send(given.discovery);
+    log::info!("a new configuration: discovery at {}", given.discovery);
+}
--- a/crates/rosewalld/src/wire/discovery_io.rs
+++ b/crates/rosewalld/src/wire/discovery_io.rs
@@ -4,7 +4,7 @@
 use crate::wire::within;
 use async_channel::Receiver;
 use async_io::{Async, Timer};
-use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
 use std::convert::Infallible;
 use std::io;
 use std::net::{SocketAddr, TcpStream};
@@ -21,9 +21,14 @@
 const PAUSE_MOST: Duration = Duration::from_millis(1600);
 const READ: usize = 16 * 1024;
 
-/// Follows the list for ever. Where it comes only when asked, it waits for leave before each new attempt, and
-/// the decisions are told of failures; else it pauses a little longer after each.
-pub async fn follow(shared: Rc<Shared>, address: SocketAddr, leave: Option<Receiver<()>>) {
+/// Follows the list for ever, from each address that `moves` names, at once. Where it comes only when asked, it waits
+/// for leave before each new attempt, and the decisions are told of failures; else it pauses a little longer after each.
+pub async fn follow(
+    shared: Rc<Shared>,
+    mut address: SocketAddr,
+    moves: Receiver<SocketAddr>,
+    leave: Option<Receiver<()>>,
+) {
     let mut pause = PAUSE;
     loop {
         if let Some(leave) = &leave
@@ -32,15 +37,27 @@
             return;
         }
         let mut seen = false;
-        let Err(fault) = watch(&shared, address, &mut seen).await;
-        shared.counters.lists_failed.add();
-        log::warn!("discovery: {fault}");
-        if leave.is_some() {
-            shared.tell(News::ListFailed);
-            continue;
+        loop {
+            let broken = async {
+                let Err(fault) = watch(&shared, address, &mut seen).await;
+                shared.counters.lists_failed.add();
+                log::warn!("discovery: {fault}");
+                if leave.is_some() {
+                    shared.tell(News::ListFailed);
+                } else {
+                    pause = if seen { PAUSE } else { (pause * 2).min(PAUSE_MOST) };
+                    Timer::after(pause).await;
+                }
+                None
+            };
+            // Guards against a watch that stays with an agent that the configuration has left, and against a
+            // pause meant for the old one.
+            let moved = async { moves.recv().await.ok() };
+            match broken.or(moved).await {
+                Some(to) => address = to,
+                None => break,
+            }
         }
-        pause = if seen { PAUSE } else { (pause * 2).min(PAUSE_MOST) };
-        Timer::after(pause).await;
     }
 }
 
--- a/crates/rosewalld/tests/common/mod.rs
+++ b/crates/rosewalld/tests/common/mod.rs
@@ -354,6 +354,14 @@
         assert!(Command::new("/bin/sh").args(["-c", &command]).status().unwrap().success());
     }
 
+    /// Replaces the configuration and waits until the log speaks of it.
+    pub fn reload(&self, text: &str, line: &str) {
+        let from = self.log.0.lock().unwrap().len();
+        std::fs::write(self.folder.join("config.json"), text).unwrap();
+        self.signal("HUP");
+        self.line(line, from);
+    }
+
     /// One counter, as it stands now.
     pub fn counter(&self, name: &str) -> u64 {
         let from = self.log.0.lock().unwrap().len();
--- a/crates/rosewalld/tests/daemon.rs
+++ b/crates/rosewalld/tests/daemon.rs
@@ -343,6 +343,24 @@
     assert_eq!(new.count(), 1);
 }
 
+#[test]
+fn a_new_configuration_names_another_discovery_and_one_without_sense_changes_nothing() {
+    let stage = stage(&[]);
+    stage.discovery.until_watched();
+    stage.daemon.reload("{", "the configuration stays as it was");
+    let new = Worker::start(&script(&[]));
+    let discovery = Discovery::start(vec![host("c", &new.dial, "ready")]);
+    stage.daemon.reload(&configuration(&discovery.address, 1024).to_string(), "a new configuration");
+    discovery.until_watched();
+    assert_eq!(stage.daemon.client().ask("one", "thumb", 5.0).status, 200);
+    assert_eq!((stage.postings(), new.count()), (0, 1));
+    // And back again, more than once.
+    stage.daemon.reload(&configuration(&stage.discovery.address, 1024).to_string(), "a new configuration");
+    stage.discovery.tell(Vec::new());
+    assert_eq!(stage.daemon.client().ask("two", "thumb", 5.0).status, 200);
+    assert_eq!((stage.postings(), new.count()), (1, 1));
+}
+
 #[test]
 fn a_malformed_list_is_passed_over_and_fetched_whole_again() {
     let stage = stage(&[]);
