End a job that a worker finds unfit without blame; take no Request-Id twice

At fault: wire/worker.rs made every 4xx an error, policy.rs blamed the worker and posted repeatable jobs again, and the hub took an id that was in hand, which for a once-only txn would be a second copy.

--- a/crates/rosewalld/src/kept/counters.rs
+++ b/crates/rosewalld/src/kept/counters.rs
@@ -32,8 +32,8 @@
 // Their meaning stands in docs/on-call.md.
 counters! {
     clients_accepted clients_idle_closed accept_paused accept_failed
-    requests requests_bad requests_cut clients_left settled declined reversed answers_unsent
-    postings posted_new posted_again started ended_settled ended_error ended_full ended_timeout ended_unconnected
+    requests requests_bad requests_cut requests_known clients_left settled declined reversed answers_unsent
+    postings posted_new posted_again started ended_settled ended_error ended_unfit ended_full ended_timeout ended_unconnected
     ended_broken ended_moot settled_late
     connects connects_failed pool_stale pool_evicted no_descriptor probes
     lists lists_failed lists_malformed hosts_clashing broken_promises
--- a/crates/rosewalld/src/kept/hub.rs
+++ b/crates/rosewalld/src/kept/hub.rs
@@ -14,7 +14,7 @@
 use futures_lite::FutureExt;
 use rosewall::policy::Dispatcher;
 use rosewall::types::{Action, Ended, Event, Nanos, Outcome, Probed, Report, Scope, Txn, TxnId, WorkerId};
-use rustc_hash::FxHashMap;
+use rustc_hash::{FxHashMap, FxHashSet};
 use slab::Slab;
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, VecDeque};
@@ -25,6 +25,9 @@
 /// txn's way in and its answer's way out took up to 0.6 and 0.4 ms (99 of 100); a core shared with a few others adds
 /// their turns, of 3 to 4 ms each.
 const MARGIN: Nanos = 20_000_000;
+/// How many ids of txns that were posted and are over are remembered: about 1 MB, and minutes of one dispatcher's
+/// traffic, longer than any client waits.
+const REMEMBERED: usize = 8192;
 /// How long after an expiry its answer must have been decided: the decisions look at held txns each 25 ms.
 const OWED_FOR: Nanos = 30_000_000;
 
@@ -62,6 +65,9 @@
     workers: Workers,
     txns: Slab<Held>,
     places: FxHashMap<TxnId, usize>,
+    /// The ids of the txns in hand and of those over, the latter also in the order of their ends.
+    ids: FxHashSet<Rc<str>>,
+    over: VecDeque<Rc<str>>,
     events: VecDeque<Event>,
     actions: Vec<Action>,
     timers: BinaryHeap<Reverse<(Nanos, u64, Due)>>,
@@ -160,6 +166,12 @@
     }
 
     fn arrived(&mut self, txn: TxnId, at: Nanos, request: Request, reply: Sender<Answer>) {
+        // Guards against the id of another client's request: posted again it would run twice.
+        if !self.state.ids.insert(request.id.as_str().into()) {
+            self.shared.counters.requests_known.add();
+            let _ = reply.try_send(Answer::Known);
+            return;
+        }
         self.shared.counters.requests.add();
         let expiry = (at + request.within).saturating_sub(MARGIN);
         let expiry = self.state.stop_by.map_or(expiry, |by| expiry.min(by));
@@ -201,6 +213,7 @@
         match outcome {
             Outcome::Settled => counters.ended_settled.add(),
             Outcome::Error => counters.ended_error.add(),
+            Outcome::Unfit => counters.ended_unfit.add(),
             Outcome::Full => counters.ended_full.add(),
             Outcome::TimeOut => counters.ended_timeout.add(),
             Outcome::NoConnection => counters.ended_unconnected.add(),
@@ -223,7 +236,17 @@
         let over = |held: &Held| held.reply.is_none() && held.legs.iter().all(Option::is_none);
         if self.state.txns.get(place).is_some_and(over) {
             self.state.places.remove(&txn);
-            self.state.txns.remove(place);
+            let held = self.state.txns.remove(place);
+            if held.legs.is_empty() {
+                self.state.ids.remove(held.request.id.as_str());
+            } else {
+                self.state.over.push_back(held.request.id.as_str().into());
+            }
+            if self.state.over.len() > REMEMBERED
+                && let Some(id) = self.state.over.pop_front()
+            {
+                self.state.ids.remove(&id);
+            }
         }
     }
 
@@ -235,6 +258,7 @@
             Answer::Settled(_) => counters.settled.add(),
             Answer::Declined { .. } => counters.declined.add(),
             Answer::Reversed => counters.reversed.add(),
+            Answer::Known => counters.requests_known.add(),
         }
         let _ = reply.try_send(answer);
         true
--- a/crates/rosewalld/src/wire/client.rs
+++ b/crates/rosewalld/src/wire/client.rs
@@ -43,8 +43,12 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum Answer {
     Settled(Vec<u8>),
-    Declined { come_back: Nanos },
+    Declined {
+        come_back: Nanos,
+    },
     Reversed,
+    /// Not taken: a request with this id is in hand or was.
+    Known,
 }
 
 #[derive(Default)]
@@ -212,6 +216,7 @@
         400 => "Bad Request",
         405 => "Method Not Allowed",
         408 => "Request Timeout",
+        409 => "Conflict",
         413 => "Content Too Large",
         417 => "Expectation Failed",
         431 => "Request Header Fields Too Large",
@@ -240,5 +245,6 @@
             message(503, &after, b"declined\n", keeps)
         }
         Answer::Reversed => message(502, "", b"reversed\n", keeps),
+        Answer::Known => message(409, "", b"the Request-Id is not new\n", keeps),
     }
 }
--- a/crates/rosewalld/src/wire/tests.rs
+++ b/crates/rosewalld/src/wire/tests.rs
@@ -116,6 +116,7 @@
 #[test_case(&Answer::Declined { come_back: 0 },
             "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 9\r\n\r\ndeclined\n"; "no time to come back")]
 #[test_case(&Answer::Reversed, "HTTP/1.1 502 Bad Gateway\r\nContent-Length: 9\r\n\r\nreversed\n"; "reversed")]
+#[test_case(&Answer::Known, "HTTP/1.1 409 Conflict\r\nContent-Length: 26\r\n\r\nthe Request-Id is not new\n"; "known")]
 fn answers_are_encoded(given: &Answer, text: &str) {
     assert_eq!(String::from_utf8(answer(given, true)).unwrap(), text);
 }
--- a/crates/rosewalld/src/wire/worker.rs
+++ b/crates/rosewalld/src/wire/worker.rs
@@ -150,6 +150,7 @@
         (self.keeps, self.body, self.streams) = (keeps, body, status == 200);
         Some(match status {
             100..=200 => Step::On, // what follows an interim answer, or the first line
+            400..=499 => Step::Tell(Told::Ended(Outcome::Unfit)),
             503 | 504 if not_run => Step::Tell(Told::Ended(Outcome::Full)),
             _ => Step::Tell(Told::Ended(Outcome::Error)),
         })
--- a/crates/rosewalld/tests/daemon.rs
+++ b/crates/rosewalld/tests/daemon.rs
@@ -126,6 +126,27 @@
     }
 }
 
+/// A worker that finds fault with a job is not to blame for it, and no other would take it either.
+#[test_case("thumb"; "repeatable")]
+#[test_case("charge"; "once only")]
+fn what_a_worker_turns_away_as_unfit_is_reversed_and_its_id_not_taken_again(scheme: &str) {
+    let stage = stage(&[Act::Status(400, false)]);
+    let mut client = stage.daemon.client();
+    let statuses = [(); 3].map(|()| client.ask("id", scheme, 5.0).status);
+    assert_eq!((statuses, stage.postings()), ([502, 409, 409], 1));
+    assert_eq!((stage.daemon.counter("ended_unfit"), stage.daemon.counter("requests_known")), (1, 2));
+}
+
+#[test]
+fn the_id_of_a_request_in_hand_is_not_taken_again() {
+    let stage = stage(&[Act::Later(300)]);
+    let mut client = stage.daemon.client();
+    client.send(request("id", "charge", 5.0, "", "first").as_bytes());
+    stage.daemon.until_counter("started", 1);
+    assert_eq!(stage.daemon.client().ask("id", "thumb", 5.0).status, 409);
+    assert_eq!((client.answer().unwrap().body, stage.postings()), (b"did first".to_vec(), 1));
+}
+
 /// Nothing comes back: the posting ends with the time of the client.
 #[test_case("thumb", 503; "a repeatable one is declined")]
 #[test_case("invoice", 502; "a referenced one is reversed")]
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -48,6 +48,8 @@
     match outcome {
         Outcome::Settled => Input::Settled,
         Outcome::Full | Outcome::NoConnection | Outcome::Moot => Input::NotRun,
+        // Nothing is proven, and no worker is to blame. Guards against bad clients that spoil trust in workers.
+        Outcome::Unfit => Input::GivenUp,
         Outcome::Error | Outcome::TimeOut | Outcome::Broken | Outcome::Withdrawn => Input::MayHaveRun,
     }
 }
@@ -608,7 +610,7 @@
             }
             Outcome::Error | Outcome::TimeOut => worker.blame(now, 0.5),
             Outcome::NoConnection | Outcome::Broken => worker.blame(now, 0.6),
-            Outcome::Full | Outcome::Withdrawn | Outcome::Moot => {}
+            Outcome::Full | Outcome::Unfit | Outcome::Withdrawn | Outcome::Moot => {}
         }
         let input = if complete { Input::Settled } else { sorted(outcome) };
         let hand = &mut self.txns[key];
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -275,6 +275,17 @@
     assert!(d.workers[d.known[&first]].lag > 0.2 * SECOND);
 }
 
+/// Guards against bad clients that spoil trust in workers and have their jobs posted again and again.
+#[test_case(Outcome::Unfit => (true, 0.0); "the job itself is at fault")]
+#[test_case(Outcome::Error => (false, 0.5); "the worker may be")]
+fn who_is_blamed(outcome: Outcome) -> (bool, f64) {
+    let mut d = dispatcher(1);
+    handle(&mut d, 0, Event::Arrived(txn(1, 0, 100 * MS, 0)));
+    let ended = Ended { txn: 1, leg: 0, outcome, complete: false, report: Report::default() };
+    let reversed = handle(&mut d, 0, Event::Ended(ended)) == [Action::Reverse { txn: 1 }];
+    (reversed, d.workers[0].distrust)
+}
+
 #[test]
 fn late_reports_do_not_add_seats() {
     let mut d = dispatcher(1);
--- a/src/types.rs
+++ b/src/types.rs
@@ -50,6 +50,8 @@
 pub enum Outcome {
     Settled,
     Error,
+    /// The worker finds fault with the job itself, as any other would.
+    Unfit,
     Full,
     TimeOut,
     NoConnection,
