Make room at the door: crowds that do not ask go first, and are gone in 2 s

At fault: kept/budget.rs let in 92 clients, by 400 KB each whatever they sent; wire/client_io.rs paused 20 ms for each one it made room for, and made it by dropping connections to workers though clients were too many; a connection that had begun a request could not make room; a silent one stayed 60 s; the system's queue held 128; wire/worker_io.rs counted our own lack of a descriptor as the worker's refusal. Now: room is made when someone is there, by who has not asked, and bytes are counted as they come.

--- a/crates/rosewalld/src/kept/budget.rs
+++ b/crates/rosewalld/src/kept/budget.rs
@@ -1,37 +1,66 @@
-//! Descriptors, all counted here. Accepting pauses before the limit; idle connections make room.
+//! Descriptors and the bytes of requests, all counted here. What waits at the door makes room before anyone is kept out.
 use async_channel::{Receiver, Sender};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
+use std::time::{Duration, Instant};
 
 /// Kept back for what is no connection of a client or worker: standard streams, the poller's three, signals,
 /// the listener, discovery's, and files opened for a moment; twice what was counted.
 const KEPT_BACK: usize = 32;
 
-/// What one client may hold at worst, of its request, the posting, and the answer: 64 KiB each, with heads and
-/// copies on the way.
-const CLIENT_BYTES: usize = 400 * 1024;
+/// What a client's connection holds before its request is large: the buffer it is read by, a head and its task.
+const CLIENT_BYTES: usize = 32 * 1024;
 
+/// Copies there may be of the bytes a client has sent: as read, as a body, as a posting, and as much of an answer.
+const COPIES: usize = 4;
+
+/// A client that means to ask does so as it connects, within some round trips of a slow network. One that has not
+/// asked for so long goes before those that have.
+const MEANS_TO_ASK: Duration = Duration::from_millis(100);
+
+/// Who waits for a client's bytes, oldest first, each with a way to tell it to close.
+type Waiting = BTreeMap<u64, (Instant, Sender<()>)>;
+
+#[derive(Default)]
 pub struct Budget {
     most: Cell<usize>,
     most_clients: Cell<usize>,
+    most_bytes: Cell<usize>,
     used: Cell<usize>,
     clients: Cell<usize>,
-    /// Idle clients, oldest first, each with a way to tell it to close.
-    idle: RefCell<BTreeMap<u64, Sender<()>>>,
+    bytes: Cell<usize>,
+    /// Those that have not asked yet, and those that have.
+    waiting: [RefCell<Waiting>; 2],
     serial: Cell<u64>,
 }
 
 /// One descriptor in use; given back when dropped.
 pub struct Slot {
     budget: Rc<Budget>,
-    client: bool,
+    /// For a client, how many bytes of its requests are held.
+    client: Option<Cell<usize>>,
+}
+
+impl Slot {
+    /// Counts the bytes that a client's requests hold now; false where there is no room for them.
+    pub fn hold(&self, bytes: usize) -> bool {
+        let Some(held) = &self.client else { return true };
+        let all = self.budget.bytes.get() - held.get() + bytes * COPIES;
+        let fits = bytes * COPIES <= held.get() || all <= self.budget.most_bytes.get();
+        if fits {
+            self.budget.bytes.set(all);
+            held.set(bytes * COPIES);
+        }
+        fits
+    }
 }
 
 impl Drop for Slot {
     fn drop(&mut self) {
         self.budget.used.set(self.budget.used.get() - 1);
-        if self.client {
+        if let Some(held) = &self.client {
+            self.budget.bytes.set(self.budget.bytes.get() - held.get());
             self.budget.clients.set(self.budget.clients.get() - 1);
         }
     }
@@ -39,38 +68,37 @@
 
 impl Budget {
     pub fn new(sockets: usize, memory_mb: usize) -> Self {
-        let none = Cell::new(0);
-        let (idle, serial) = (RefCell::default(), Cell::default());
-        let (most, most_clients) = (none.clone(), none.clone());
-        let budget = Budget { most, most_clients, used: none.clone(), clients: none, idle, serial };
+        let budget = Budget::default();
         budget.limit(sockets, memory_mb);
         budget
     }
 
     /// Sets the limits; what is over a lower one ends as it falls idle.
     pub fn limit(&self, sockets: usize, memory_mb: usize) {
-        let most = sockets.saturating_sub(KEPT_BACK).max(2);
-        // Clients hold half at most: each has one txn at a time, and a txn one posting. And what they hold at
-        // worst fits in three quarters of the memory.
-        let most_clients = (most / 2).min(memory_mb * 1024 * 1024 / 4 * 3 / CLIENT_BYTES).max(1);
+        let (most, memory) = (sockets.saturating_sub(KEPT_BACK).max(2), memory_mb * 1024 * 1024);
         self.most.set(most);
-        self.most_clients.set(most_clients);
+        // Each client has one txn at a time and a txn one posting; some clients only wait. A quarter of the memory
+        // is for their connections, half for what they send, the rest for the program.
+        self.most_clients.set((most * 3 / 5).min(memory / 4 / CLIENT_BYTES).max(1));
+        self.most_bytes.set(memory / 2);
+    }
+
+    /// Whether one more client fits among the clients, whatever else is open.
+    pub fn has_client_room(&self) -> bool {
+        self.clients.get() < self.most_clients.get()
     }
 
     pub fn client(self: &Rc<Self>) -> Option<Slot> {
-        if self.clients.get() >= self.most_clients.get() {
-            return None;
-        }
-        let slot = self.slot(true)?;
+        let slot = if self.has_client_room() { self.slot(Some(Cell::new(0)))? } else { return None };
         self.clients.set(self.clients.get() + 1);
         Some(slot)
     }
 
     pub fn worker(self: &Rc<Self>) -> Option<Slot> {
-        self.slot(false)
+        self.slot(None)
     }
 
-    fn slot(self: &Rc<Self>, client: bool) -> Option<Slot> {
+    fn slot(self: &Rc<Self>, client: Option<Cell<usize>>) -> Option<Slot> {
         if self.used.get() >= self.most.get() {
             return None;
         }
@@ -82,29 +110,36 @@
         self.clients.get()
     }
 
-    /// A client is idle until what is given back is dropped; the channel tells it to close.
-    pub fn idle(self: &Rc<Self>) -> (Idle, Receiver<()>) {
+    /// A client waits until what is given back is dropped; the channel tells it to close. `asked` is whether it has
+    /// handed in a request before.
+    pub fn waits(self: &Rc<Self>, asked: bool) -> (Waits, Receiver<()>) {
         let serial = self.serial.get();
         self.serial.set(serial + 1);
         let (close, closed) = async_channel::bounded(1);
-        self.idle.borrow_mut().insert(serial, close);
-        (Idle { budget: self.clone(), serial }, closed)
+        self.waiting[usize::from(asked)].borrow_mut().insert(serial, (Instant::now(), close));
+        (Waits { budget: self.clone(), asked, serial }, closed)
     }
 
-    /// Closes the client that has been idle longest; false where there is none.
-    pub fn close_idle(&self) -> bool {
-        let oldest = self.idle.borrow_mut().pop_first();
-        oldest.is_some_and(|(_, close)| close.try_send(()).is_ok())
+    /// Closes the client that has waited longest; false where none waits. Guards against silent connections by the
+    /// hundred that keep others out, or have those closed that are of use.
+    pub fn close_waiting(&self) -> bool {
+        let [strangers, known] = &self.waiting;
+        let (mut strangers, mut known) = (strangers.borrow_mut(), known.borrow_mut());
+        let oldest = strangers.first_key_value().map(|(_, (since, _))| since.elapsed());
+        let stranger = oldest.is_some_and(|waited| waited >= MEANS_TO_ASK || known.is_empty());
+        let closed = if stranger { strangers.pop_first() } else { known.pop_first() };
+        closed.is_some_and(|(_, (_, close))| close.try_send(()).is_ok())
     }
 }
 
-pub struct Idle {
+pub struct Waits {
     budget: Rc<Budget>,
+    asked: bool,
     serial: u64,
 }
 
-impl Drop for Idle {
+impl Drop for Waits {
     fn drop(&mut self) {
-        self.budget.idle.borrow_mut().remove(&self.serial);
+        self.budget.waiting[usize::from(self.asked)].borrow_mut().remove(&self.serial);
     }
 }
--- a/crates/rosewalld/src/kept/shared.rs
+++ b/crates/rosewalld/src/kept/shared.rs
@@ -70,7 +70,13 @@
             self.counters.pool_evicted.add();
             return true;
         }
-        self.budget.close_idle()
+        self.budget.close_waiting()
+    }
+
+    /// Makes room for one more client. Guards against dropping the connections to workers where it is the clients that
+    /// are too many.
+    pub fn make_client_room(&self) -> bool {
+        if self.budget.has_client_room() { self.make_room() } else { self.budget.close_waiting() }
     }
 
     /// A number for a txn; it comes again only after all others.
--- a/crates/rosewalld/src/life/given.rs
+++ b/crates/rosewalld/src/life/given.rs
@@ -37,7 +37,12 @@
 pub fn load(path: &str) -> Result<Given, String> {
     let text =
         std::fs::read(path).map_err(|error| format!("cannot read the configuration {path}: {error}"))?;
-    read(&text).map_err(|fault| format!("cannot use the configuration {path}: {fault}"))
+    let mut given = read(&text).map_err(|fault| format!("cannot use the configuration {path}: {fault}"))?;
+    // Guards against a system that allows fewer descriptors than are told.
+    let system = rustix::process::getrlimit(rustix::process::Resource::Nofile).current;
+    given.sockets =
+        system.and_then(|most| usize::try_from(most).ok()).unwrap_or(usize::MAX).min(given.sockets);
+    Ok(given)
 }
 
 /// Reads the file's text.
--- a/crates/rosewalld/src/life/stop.rs
+++ b/crates/rosewalld/src/life/stop.rs
@@ -33,7 +33,7 @@
     accepting.await;
     let last = by + SPARE / 2;
     while shared.budget.clients() > 0 && shared.clock.now() < last {
-        while shared.budget.close_idle() {}
+        while shared.budget.close_waiting() {}
         Timer::after(Duration::from_millis(5)).await;
     }
     log::info!("{} clients were still connected at the end", shared.budget.clients());
--- a/crates/rosewalld/src/wire/client.rs
+++ b/crates/rosewalld/src/wire/client.rs
@@ -90,6 +90,11 @@
         self.open.is_none() && self.inlet.bytes.is_empty()
     }
 
+    /// How many bytes of requests are held here.
+    pub fn held(&self) -> usize {
+        self.inlet.bytes.len() + self.open.as_ref().map_or(0, |(request, _)| request.body.len())
+    }
+
     /// Whether more may be read: what comes ahead of its turn is bounded.
     pub fn has_room(&self) -> bool {
         self.inlet.bytes.len() < http::HEAD_LIMIT + BODY_LIMIT
--- a/crates/rosewalld/src/wire/client_io.rs
+++ b/crates/rosewalld/src/wire/client_io.rs
@@ -12,15 +12,21 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-/// A request that has begun must be whole within this time: it spans two lost packets, and is short beside
-/// expiries, so that a crowd of tricklers at the limit of clients does not keep others waiting for theirs.
+/// A first request must be whole within this time of its connection, a later one of its first byte: it spans two lost
+/// packets, and is short beside expiries, so that a crowd that trickles or says nothing is soon gone.
 const REQUEST_WITHIN: Duration = Duration::from_secs(2);
-/// A silent connection is closed after this time; it costs a client one new connection.
+/// A silent connection that has asked before is closed after this time; it costs a client one new connection.
 const IDLE_WITHIN: Duration = Duration::from_secs(60);
 /// An answer must be taken within this time.
 const WRITE_WITHIN: Duration = Duration::from_secs(2);
 /// How long to wait where no descriptor is free, and after an accept that failed.
-const PAUSE: Duration = Duration::from_millis(20);
+const PAUSE: Duration = Duration::from_millis(5);
+/// What a client still sends after an answer that ends its connection is read for so long, and so much of it: twice
+/// what a request may hold.
+const PART_WITHIN: Duration = Duration::from_millis(500);
+const PART_MOST: usize = 160 * 1024;
+/// Connections that the system takes in before they are accepted: more than a crowd opens while one turn is taken.
+const BACKLOG: i32 = 1024;
 /// Reads are as large as most requests with their head.
 const READ: usize = 8 * 1024;
 
@@ -31,19 +37,33 @@
     listener: Async<TcpListener>,
     end: Receiver<()>,
 ) {
+    if let Err(error) = rustix::net::listen(listener.get_ref(), BACKLOG) {
+        log::warn!("the queue of connections stays as it was: {error}");
+    }
     let ended = async {
         let _ = end.recv().await;
     };
     let accepting = async {
         loop {
-            let Some(slot) = shared.budget.client() else {
-                shared.counters.accept_paused.add();
-                shared.make_room();
+            // Room is made only for someone who is there.
+            if let Err(error) = listener.readable().await {
+                log::warn!("cannot wait for connections: {error}");
                 Timer::after(PAUSE).await;
                 continue;
+            }
+            let Some(slot) = shared.budget.client() else {
+                // The one who makes room has its turn before the next look.
+                if shared.make_client_room() {
+                    futures_lite::future::yield_now().await;
+                } else {
+                    shared.counters.accept_paused.add();
+                    Timer::after(PAUSE).await;
+                }
+                continue;
             };
-            match listener.accept().await {
-                Ok((stream, _)) => take(&shared, &ex, stream, slot),
+            match listener.get_ref().accept().and_then(|(stream, _)| Async::new(stream)) {
+                Ok(stream) => take(&shared, &ex, stream, slot),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 Err(error) => {
                     // Guards against an end of the program, or a spin, where descriptors run out.
                     shared.counters.accept_failed.add();
@@ -52,6 +72,9 @@
                     Timer::after(PAUSE).await;
                 }
             }
+            // Who was accepted has its turn. Guards against a crowd in which those that have asked already are
+            // closed unheard, as silent.
+            futures_lite::future::yield_now().await;
         }
     };
     accepting.or(ended).await;
@@ -68,10 +91,10 @@
     shared.counters.clients_accepted.add();
     let shared = shared.clone();
     let serving = async move {
-        let mut link = Link { shared, stream, intake: Intake::default(), buffer: vec![0; READ] };
+        let (intake, buffer) = (Intake::default(), vec![0; READ]);
+        let mut link = Link { shared, stream, intake, buffer, asked: false, slot };
         // What ends a connection is the client's doing, or was counted.
         let _ = link.serve().await;
-        drop(slot);
     };
     ex.spawn(serving).detach();
 }
@@ -81,13 +104,18 @@
     stream: Async<TcpStream>,
     intake: Intake,
     buffer: Vec<u8>,
+    /// Whether it has asked for something before.
+    asked: bool,
+    slot: Slot,
 }
 
 impl Link {
     async fn serve(&mut self) -> io::Result<()> {
         self.stream.get_ref().set_nodelay(true)?;
         loop {
-            match self.hear().await? {
+            let heard = self.hear().await?;
+            self.asked |= matches!(heard, Heard::Ready { .. } | Heard::Request(_));
+            match heard {
                 Heard::Continue => self.write(client::CONTINUE).await?,
                 Heard::Ready { keeps } => {
                     let ready = self.shared.ready.get() && !self.shared.stopping.get();
@@ -113,60 +141,58 @@
         }
     }
 
-    /// Reads until something is heard.
+    /// Reads until something is heard. Who has asked before may be silent for long; else, and once a request has
+    /// begun, it must be whole in time. Guards against clients that say nothing, trickle or fall silent in one.
     async fn hear(&mut self) -> io::Result<Heard> {
-        let mut begun = None;
+        let in_time = Instant::now() + REQUEST_WITHIN;
+        let mut until = if self.asked { in_time - REQUEST_WITHIN + IDLE_WITHIN } else { in_time };
+        let (waits, close) = self.shared.budget.waits(self.asked);
+        let mut waits = Some(waits);
         loop {
             if let Some(heard) = self.intake.next(&self.shared.names) {
                 return Ok(heard);
             }
-            let count = match self.intake.idle() {
-                true => self.wait().await?,
-                false => self.rest(*begun.get_or_insert_with(Instant::now) + REQUEST_WITHIN).await?,
+            if self.asked && !self.intake.idle() && waits.take().is_some() {
+                until = Instant::now() + REQUEST_WITHIN;
+            }
+            let closed = async {
+                match close.recv().await {
+                    Ok(()) => Err(io::ErrorKind::ConnectionAborted.into()),
+                    Err(_) => std::future::pending().await, // it waits no longer
+                }
             };
-            if count == 0 {
-                return Err(io::ErrorKind::UnexpectedEof.into());
+            let (stream, buffer) = (&mut self.stream, &mut self.buffer);
+            let left = until.saturating_duration_since(Instant::now());
+            // A read goes first: bytes that are there are never left behind by a close.
+            let read = within(left, stream.read(buffer).or(closed)).await;
+            match read {
+                Ok(0) => return Err(io::ErrorKind::UnexpectedEof.into()),
+                Ok(count) => self.intake.feed(&self.buffer[..count]),
+                Err(error) => {
+                    let late = error.kind() == io::ErrorKind::TimedOut;
+                    if late && !self.intake.idle() {
+                        self.shared.counters.requests_cut.add();
+                        let text = client::message(408, "", b"the request did not come whole\n", false);
+                        self.write(&text).await?;
+                    } else if late || error.kind() == io::ErrorKind::ConnectionAborted {
+                        self.shared.counters.clients_idle_closed.add();
+                    }
+                    return Err(error);
+                }
+            }
+            if !self.slot.hold(self.intake.held()) {
+                return Ok(Heard::Bad(503, "no memory is left for the request"));
             }
-            self.intake.feed(&self.buffer[..count]);
-        }
-    }
-
-    /// Waits for a first byte: as long as the connection may be idle, or until its descriptor is needed.
-    async fn wait(&mut self) -> io::Result<usize> {
-        let (_idle, close) = self.shared.budget.idle();
-        let closed = async {
-            let _ = close.recv().await;
-            Err(io::ErrorKind::ConnectionAborted.into())
-        };
-        let (stream, buffer) = (&mut self.stream, &mut self.buffer);
-        // A read goes first: bytes that are there are never left behind by a close.
-        let read = within(IDLE_WITHIN, stream.read(buffer).or(closed)).await;
-        if let Err(error) = &read
-            && matches!(error.kind(), io::ErrorKind::TimedOut | io::ErrorKind::ConnectionAborted)
-        {
-            self.shared.counters.clients_idle_closed.add();
-        }
-        read
-    }
-
-    /// Reads on in a request. Guards against a client that trickles or falls silent in one.
-    async fn rest(&mut self, until: Instant) -> io::Result<usize> {
-        let left = until.saturating_duration_since(Instant::now());
-        let read = within(left, self.stream.read(&mut self.buffer)).await;
-        if read.as_ref().is_err_and(|error| error.kind() == io::ErrorKind::TimedOut) {
-            self.shared.counters.requests_cut.add();
-            self.write(&client::message(408, "", b"the request did not come whole\n", false)).await?;
         }
-        read
     }
 
     /// Hands a request to the hub and writes its answer; false where the connection ends with it.
     async fn carry(&mut self, request: Request) -> io::Result<bool> {
         let at = self.shared.clock.now();
-        let (txn, keeps) = (self.shared.next_txn(), request.keeps);
+        let (txn, keeps, bytes) = (self.shared.next_txn(), request.keeps, request.body.len());
         let (reply, answered) = async_channel::bounded(1);
         self.shared.tell(News::Arrived { txn, at, request, reply });
-        let answer = self.answer(&answered).await;
+        let answer = self.answer(&answered, bytes).await;
         let Some(answer) = answer else {
             self.shared.tell(News::Left(txn));
             return Err(io::ErrorKind::UnexpectedEof.into());
@@ -179,10 +205,10 @@
         written.map(|()| keeps)
     }
 
-    /// Waits for the answer, and meanwhile for the client to leave; none if it has.
-    async fn answer(&mut self, answered: &Receiver<Answer>) -> Option<Answer> {
+    /// Waits for the answer to a request of so many bytes, and meanwhile for the client to leave; none if it has.
+    async fn answer(&mut self, answered: &Receiver<Answer>, bytes: usize) -> Option<Answer> {
         loop {
-            if !self.intake.has_room() {
+            if !self.intake.has_room() || !self.slot.hold(bytes + self.intake.held()) {
                 return answered.recv().await.ok();
             }
             let (stream, buffer) = (&mut self.stream, &mut self.buffer);
@@ -200,14 +226,25 @@
         within(WRITE_WITHIN, self.stream.write_all(bytes)).await
     }
 
-    /// Ends a connection after an answer: what the client still sends is read for a moment. Guards against a
-    /// reset that overtakes the answer.
+    /// Ends a connection after an answer: what the client still sends is read for a moment, if its descriptor is not
+    /// needed. Guards against a reset that overtakes the answer.
     async fn part(&mut self) -> io::Result<()> {
         self.stream.get_ref().shutdown(std::net::Shutdown::Write)?;
+        let (_waits, close) = self.shared.budget.waits(false);
+        let closed = async {
+            let _ = close.recv().await;
+            Ok(())
+        };
         let drain = async {
-            while self.stream.read(&mut self.buffer).await? > 0 {}
+            let mut left = PART_MOST;
+            while left > 0 {
+                match self.stream.read(&mut self.buffer).await? {
+                    0 => break,
+                    count => left = left.saturating_sub(count),
+                }
+            }
             Ok(())
         };
-        within(Duration::from_millis(500), drain).await
+        within(PART_WITHIN, drain.or(closed)).await
     }
 }
--- a/crates/rosewalld/src/wire/worker_io.rs
+++ b/crates/rosewalld/src/wire/worker_io.rs
@@ -1,4 +1,5 @@
 //! Reads and writes for the worker side: one task a posting, one a probe.
+use crate::kept::budget::Slot;
 use crate::kept::pool::Conn;
 use crate::kept::shared::{News, Shared};
 use crate::wire::within;
@@ -6,7 +7,6 @@
 use async_io::{Async, Timer};
 use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
 use rosewall::types::{Outcome, Probed, Report, TxnId, WorkerId};
-use std::io;
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
 use std::time::Duration;
@@ -28,11 +28,12 @@
     pub connect_within: Duration,
 }
 
-async fn open(shared: &Shared, dial: SocketAddr) -> io::Result<Conn> {
+/// A descriptor for a new connection, once there is one.
+async fn descriptor(shared: &Shared) -> Slot {
     let mut short = false;
-    let slot = loop {
+    loop {
         if let Some(slot) = shared.budget.worker() {
-            break slot;
+            return slot;
         }
         if !std::mem::replace(&mut short, true) {
             shared.counters.no_descriptor.add();
@@ -41,27 +42,32 @@
             Timer::after(PAUSE).await;
         }
         futures_lite::future::yield_now().await;
-    };
-    shared.counters.connects.add();
-    let stream = Async::<TcpStream>::connect(dial).await?;
-    stream.get_ref().set_nodelay(true)?;
-    Ok(Conn { stream, dial, _slot: slot })
+    }
 }
 
-/// The connection that is ready, or a new one, or none within the time. Guards against a vanished machine, which
-/// never answers.
-async fn connection(shared: &Shared, ready: Option<Conn>, dial: SocketAddr, limit: Duration) -> Option<Conn> {
-    if ready.is_some() {
-        return ready;
-    }
-    match within(limit, open(shared, dial)).await {
-        Ok(conn) => Some(conn),
-        Err(error) => {
-            shared.counters.connects_failed.add();
-            log::debug!("no connection to {dial}: {error}");
-            None
-        }
+/// The connection that is ready, or a new one, within the time. Guards against a vanished machine, which never
+/// answers. Where it is this program that has no descriptor, that is no fault of the worker's.
+async fn connection(
+    shared: &Shared,
+    ready: Option<Conn>,
+    dial: SocketAddr,
+    limit: Duration,
+) -> Result<Conn, Outcome> {
+    if let Some(conn) = ready {
+        return Ok(conn);
     }
+    let slot = within(limit, async { Ok(descriptor(shared).await) }).await.map_err(|_| Outcome::Moot)?;
+    shared.counters.connects.add();
+    let connect = async {
+        let stream = Async::<TcpStream>::connect(dial).await?;
+        stream.get_ref().set_nodelay(true)?;
+        Ok(Conn { stream, dial, _slot: slot })
+    };
+    within(limit, connect).await.map_err(|error| {
+        shared.counters.connects_failed.add();
+        log::debug!("no connection to {dial}: {error}");
+        Outcome::NoConnection
+    })
 }
 
 /// Carries one posting; what it ended in is told once.
@@ -70,7 +76,10 @@
     let tell = |told| shared.tell(News::Told { txn, leg, told });
     let conn = connection(&shared, ready, dial, connect_within).await;
     // Nothing is sent again here: what could not be written whole never ran, and the decisions are told so.
-    let Some(mut conn) = conn else { return tell(Told::Ended(Outcome::NoConnection)) };
+    let mut conn = match conn {
+        Ok(conn) => conn,
+        Err(outcome) => return tell(Told::Ended(outcome)),
+    };
     if conn.stream.write_all(&message).await.is_err() {
         return tell(Told::Ended(Outcome::NoConnection));
     }
@@ -126,7 +135,10 @@
 ) -> (Outcome, Report) {
     let none = Report::default();
     let conn = connection(shared, shared.pooled(worker), dial, limit).await;
-    let Some(mut conn) = conn else { return (Outcome::NoConnection, none) };
+    let mut conn = match conn {
+        Ok(conn) => conn,
+        Err(outcome) => return (outcome, none),
+    };
     if conn.stream.write_all(&probe(host, !shared.report.is_empty())).await.is_err() {
         return (Outcome::NoConnection, none);
     }
