--- a/crates/rosewalld/tests/daemon.rs
+++ b/crates/rosewalld/tests/daemon.rs
@@ -380,7 +380,7 @@
 
 #[test]
 fn a_posting_that_finds_no_descriptor_is_no_fault_of_the_worker() {
-    let worker = Worker::start(&script(&[Act::Silent; 4]));
+    let worker = Worker::start(&script(&[Act::Silent; 8]));
     let discovery = Discovery::start(vec![host("a", &worker.dial, "ready")]);
     let daemon = Daemon::start(&configuration(&discovery.address, 32 + 10));
     daemon.until_ready();
@@ -389,9 +389,12 @@
         client.send(request(&format!("id{at}"), "charge", 20.0, "", "").as_bytes());
         client
     };
-    let _silent: Vec<Client> = (0..4).map(ask).collect();
-    daemon.until_counter("connects", 4);
-    assert_eq!(ask(5).answer().unwrap().status, 503);
+    // Postings of clients that have left stay out, so that more are out than clients are there.
+    drop((0..5).map(ask).collect::<Vec<Client>>());
+    daemon.until_counter("clients_left", 5);
+    let _silent = [ask(5), ask(6)];
+    daemon.until_counter("connects", 7);
+    assert_eq!(ask(7).answer().unwrap().status, 503);
     assert_eq!((daemon.counter("ended_unconnected"), daemon.counter("ended_moot")), (0, 3));
 }
 
