--- a/crates/rosewalld/src/wire/worker_io.rs
+++ b/crates/rosewalld/src/wire/worker_io.rs
@@ -15,6 +15,8 @@
 const PAUSE: Duration = Duration::from_millis(5);
 /// How long the end of an answer may come after its last line, for the connection to be used again.
 const TAIL_WITHIN: Duration = Duration::from_millis(250);
+/// Two round trips inside one data centre, and the turns of both sides.
+const ANSWERED_WITHIN: Duration = Duration::from_millis(2);
 const READ: usize = 8 * 1024;
 
 /// Where a posting goes, and what goes there.
@@ -70,19 +72,53 @@
     })
 }
 
+/// Writes a posting; false where the connection broke before the last byte was written, so that it never ran.
+/// Guards against kept connections that the worker has dropped in silence, which show it only when written to: the
+/// last byte waits until what came before it could have been answered with a reset.
+async fn written(conn: &mut Conn, message: &[u8]) -> bool {
+    let Some((last, most)) = message.split_last() else { return false };
+    if conn.stream.write_all(most).await.is_err() {
+        return false;
+    }
+    let answered = async { conn.stream.readable().await.is_ok() };
+    let silent = async {
+        Timer::after(ANSWERED_WITHIN).await;
+        false
+    };
+    // What is there to read is the connection's end, or an answer ahead of its time.
+    if answered.or(silent).await && !matches!(conn.stream.get_ref().peek(&mut [0]), Ok(1)) {
+        return false;
+    }
+    conn.stream.write_all(&[*last]).await.is_ok()
+}
+
 /// Carries one posting; what it ended in is told once.
 pub async fn post(shared: Rc<Shared>, errand: Errand, ready: Option<Conn>) {
     let Errand { txn, leg, worker, dial, id, message, connect_within } = errand;
     let tell = |told| shared.tell(News::Told { txn, leg, told });
-    let conn = connection(&shared, ready, dial, connect_within).await;
-    // Nothing is sent again here: what could not be written whole never ran, and the decisions are told so.
-    let mut conn = match conn {
-        Ok(conn) => conn,
-        Err(outcome) => return tell(Told::Ended(outcome)),
-    };
-    if conn.stream.write_all(&message).await.is_err() {
-        return tell(Told::Ended(Outcome::NoConnection));
+    let mut kept = None;
+    if let Some(mut conn) = ready {
+        // A kept connection found dead tells of its age, not of the worker: nothing was posted yet.
+        match written(&mut conn, &message).await {
+            true => kept = Some(conn),
+            false => shared.counters.pool_stale.add(),
+        }
     }
+    let mut conn = match kept {
+        Some(conn) => conn,
+        None => {
+            let mut conn = match connection(&shared, None, dial, connect_within).await {
+                Ok(conn) => conn,
+                Err(outcome) => return tell(Told::Ended(outcome)),
+            };
+            // Nothing is sent again from here on: what could not be written whole never ran, and the decisions are
+            // told so.
+            if !written(&mut conn, &message).await {
+                return tell(Told::Ended(Outcome::NoConnection));
+            }
+            conn
+        }
+    };
     drop(message);
     let mut reply = Reply::new(id);
     let mut buffer = vec![0; READ];
--- a/crates/rosewalld/tests/common/mod.rs
+++ b/crates/rosewalld/tests/common/mod.rs
@@ -33,6 +33,8 @@
     /// Ends the connection after the start was told.
     CutStarted,
     Silent,
+    /// Done, and then the connection is dropped as soon as anything more comes on it.
+    DoneStale,
 }
 
 /// What all workers of a test are to do, in the order of postings; then `Done`.
@@ -138,6 +140,11 @@
             stream.write_all(format!("{chunked}{}", chunk(&line("started"))).as_bytes()).ok()?;
             return None;
         }
+        Act::DoneStale => {
+            stream.write_all(whole(&(done + "\n")).as_bytes()).ok()?;
+            let _ = stream.read(&mut [0]);
+            return None;
+        }
         Act::Silent => {
             // Until the dispatcher gives up.
             let _ = stream.read(&mut [0]);
--- a/crates/rosewalld/tests/daemon.rs
+++ b/crates/rosewalld/tests/daemon.rs
@@ -74,6 +74,19 @@
     assert_eq!(daemon.counter("pool_stale"), 1);
 }
 
+/// Guards against workers that drop kept connections in silence: before its last byte is written nothing ran.
+#[test]
+fn a_connection_that_breaks_before_the_last_byte_costs_no_txn() {
+    let worker = Worker::start(&script(&[Act::DoneStale; 6]));
+    let discovery = Discovery::start(vec![host("a", &worker.dial, "ready")]);
+    let daemon = Daemon::start(&configuration(&discovery.address, 1024));
+    daemon.until_ready();
+    let mut client = daemon.client();
+    let statuses = [0, 1, 2, 3].map(|at| client.ask(&format!("id{at}"), "charge", 5.0).status);
+    assert_eq!((statuses, worker.count()), ([200; 4], 4));
+    assert_eq!((daemon.counter("postings"), daemon.counter("ended_unconnected")), (4, 0));
+}
+
 /// Where the settings allow probes and name a report; the posting goes over the probe's connection.
 #[test_case(true, &["GET /load HTTP/1.1", "POST /api/do?x=1&y=%20 HTTP/1.1"]; "allowed")]
 #[test_case(false, &["POST /api/do?x=1&y=%20 HTTP/1.1"]; "not allowed")]
