--- a/crates/rosewalld/src/kept/counters.rs
+++ b/crates/rosewalld/src/kept/counters.rs
@@ -35,7 +35,7 @@
     requests requests_bad requests_cut requests_known clients_left settled declined reversed answers_unsent
     postings posted_new posted_again started ended_settled ended_error ended_unfit ended_full ended_timeout ended_unconnected
     ended_broken ended_moot settled_late
-    connects connects_failed pool_stale pool_evicted no_descriptor probes
+    connects connects_failed pool_stale pool_broke pool_evicted no_descriptor probes
     lists lists_failed lists_malformed hosts_clashing broken_promises
 }
 
--- a/crates/rosewalld/src/kept/tests.rs
+++ b/crates/rosewalld/src/kept/tests.rs
@@ -1,8 +1,11 @@
 //! What is held, without a socket.
 use super::budget::Budget;
+use super::pool::{Conn, Pool};
 use super::workers::{Workers, id};
 use crate::wire::discovery::{Host, Listing};
-use rosewall::types::Standing;
+use async_io::Async;
+use rosewall::types::{Nanos, Standing};
+use std::net::{TcpListener, TcpStream};
 use std::rc::Rc;
 use test_case::test_case;
 
@@ -100,3 +103,24 @@
     let clients: Vec<_> = std::iter::from_fn(|| budget.client()).collect();
     assert_eq!(clients.len(), 128);
 }
+
+const SECOND: Nanos = 1_000_000_000;
+
+/// Kept for three fifths of the settings' 30 s, or of the time after which one broke, for half a minute.
+#[test_case(None, 17 => true; "within the settings")]
+#[test_case(None, 19 => false; "too old")]
+#[test_case(Some((10, 20)), 5 => true; "younger than what broke")]
+#[test_case(Some((10, 20)), 7 => false; "nearly as old as what broke")]
+#[test_case(Some((10, 60)), 7 => true; "forgotten")]
+fn how_long_a_connection_is_used_again(broke: Option<(Nanos, Nanos)>, idle: Nanos) -> bool {
+    let (now, listener) = (100 * SECOND, TcpListener::bind("127.0.0.1:0").unwrap());
+    let dial = listener.local_addr().unwrap();
+    let stream = Async::new(TcpStream::connect(dial).unwrap()).unwrap();
+    let slot = Rc::new(Budget::new(1024, 192)).worker().unwrap();
+    let mut pool = Pool::new(30 * SECOND);
+    pool.put(now - idle * SECOND, id("a"), Conn { stream, dial, since: 0, _slot: slot });
+    if let Some((age, ago)) = broke {
+        pool.broke(now - ago * SECOND, now - (ago + age) * SECOND);
+    }
+    pool.take(now, id("a")).0.is_some()
+}
--- a/crates/rosewalld/src/wire/worker_io.rs
+++ b/crates/rosewalld/src/wire/worker_io.rs
@@ -63,7 +63,7 @@
     let connect = async {
         let stream = Async::<TcpStream>::connect(dial).await?;
         stream.get_ref().set_nodelay(true)?;
-        Ok(Conn { stream, dial, _slot: slot })
+        Ok(Conn { stream, dial, since: shared.clock.now(), _slot: slot })
     };
     within(limit, connect).await.map_err(|error| {
         shared.counters.connects_failed.add();
@@ -96,14 +96,21 @@
 pub async fn post(shared: Rc<Shared>, errand: Errand, ready: Option<Conn>) {
     let Errand { txn, leg, worker, dial, id, message, connect_within } = errand;
     let tell = |told| shared.tell(News::Told { txn, leg, told });
-    let mut kept = None;
+    let (mut kept, since) = (None, ready.as_ref().map(|conn| conn.since));
+    let broke = || {
+        if let Some(since) = since {
+            shared.pool.borrow_mut().broke(shared.clock.now(), since);
+            shared.counters.pool_broke.add();
+        }
+    };
     if let Some(mut conn) = ready {
         // A kept connection found dead tells of its age, not of the worker: nothing was posted yet.
         match written(&mut conn, &message).await {
             true => kept = Some(conn),
-            false => shared.counters.pool_stale.add(),
+            false => broke(),
         }
     }
+    let fresh = kept.is_none();
     let mut conn = match kept {
         Some(conn) => conn,
         None => {
@@ -122,7 +129,7 @@
     drop(message);
     let mut reply = Reply::new(id);
     let mut buffer = vec![0; READ];
-    let mut ended = false;
+    let (mut ended, mut heard) = (false, false);
     loop {
         let read = async { conn.stream.read(&mut buffer).await.unwrap_or(0) };
         let late = async {
@@ -135,9 +142,13 @@
         };
         let count = read.or(late).await;
         if count == 0 {
+            if !heard && !fresh {
+                broke();
+            }
             reply.closed().into_iter().for_each(tell);
             return;
         }
+        heard = true;
         reply.feed(&buffer[..count]);
         while let Some(told) = reply.next() {
             ended |= told != Told::Started;
--- a/crates/rosewalld/tests/daemon.rs
+++ b/crates/rosewalld/tests/daemon.rs
@@ -84,6 +84,7 @@
     let mut client = daemon.client();
     let statuses = [0, 1, 2, 3].map(|at| client.ask(&format!("id{at}"), "charge", 5.0).status);
     assert_eq!((statuses, worker.count()), ([200; 4], 4));
+    assert!(daemon.counter("pool_broke") > 0);
     assert_eq!((daemon.counter("postings"), daemon.counter("ended_unconnected")), (4, 0));
 }
 
