Doubt a worker by scheme, and try a silent one with what may be repeated

A trace of the hub showed that four workers swallowed one scheme's postings for some 10 s and served the others; each such posting stayed in its worker's queue and delay until its expiry, so all schemes kept away and the rest of the fleet jammed. Ruled out: connections (fresh ones were swallowed too, kept ones answered), hung workers (others' schemes started there 70 ms later), pauses. At fault: policy.rs held silence and errors against the worker alone, or, where it showed life, not at all; each start cleared distrust, so a worker that starts all and fails most stayed trusted; tally counted what was passed over; least cost let a doubt of 0.9 lose against one job in flight.

--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -21,6 +21,7 @@
     ("Contract.FallMultiple", "fall.multiple"),
     ("Contract.FallNs", "fall.window"),
     ("FamilyInfo.TellsStart", "tells_start"),
+    ("FamilyInfo.QueueOrder", "queue.order"),
     ("Prices.CrossZone", "price.zone"),
     ("Prices.Probe", "price.probe"),
     ("Prices.Waste", "price.waste"),
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -6,15 +6,14 @@
 //! `types.rs`; the names that the map may hold stand in `docs/design.md`.
 //! How to read it: `TABLE` says what may follow for a txn, `choose` picks its worker, `recut` draws the
 //! lanes by DIFFEQAL, `Worker` holds what is believed of a worker, and `handle` joins them.
-use crate::pcg::Pcg;
 pub use crate::state::Dispatcher;
 use crate::state::Effect::{OnceOnly, Referenced, Repeatable};
 use crate::state::Stage::{Again, Answered, Doubted, Held, Out};
-use crate::state::{BINS, Bins, SECOND, below, fade, pick};
-use crate::state::{Effect, Gaps, InHand, Input, LEGS, Map, Posting, Scheme, Stage, Step, Worker};
+use crate::state::{BINS, Bins, SECOND, below, fade};
+use crate::state::{Effect, InHand, Input, Map, Posting, Silence, Stage, Step};
+use crate::state::{Trust, Worker};
 use crate::types::{Action, Ended, Event, Listed, Nanos, Outcome, Probed, Report, Scope, Standing};
 use crate::types::{Txn, TxnId};
-use std::collections::BTreeMap;
 
 #[cfg(test)]
 mod tests;
@@ -88,16 +87,6 @@
     }
 }
 
-impl Gaps {
-    /// The design page's figures: over 5 s, and the last estimate stays until 100 gaps exist.
-    fn measure(&mut self, now: Nanos) {
-        if now - self.from < 5_000_000_000 || self.count < 100.0 {
-            return;
-        }
-        *self = Gaps { from: now, last: self.last, estimate: self.autocorrelation(), ..Gaps::default() };
-    }
-}
-
 /// R, then the shift of the low and of the high class, from both autocorrelations.
 fn corrections(low: f64, high: f64) -> (f64, f64, f64) {
     // Present above 0.1; shifts of 40, 40 and 20%: all from the design page.
@@ -108,22 +97,34 @@
 
 impl Worker {
     /// Distrust halves in 5 s: several times the time between postings to one worker at low traffic.
-    fn distrust(&self, now: Nanos) -> f64 {
-        fade(self.distrust, self.distrust_at, now, 5.0 * SECOND)
-    }
+    const HALF: f64 = 5.0 * SECOND;
+    /// That of one scheme in three times as long: to try again costs a txn its whole time.
+    const HALF_OF: f64 = 3.0 * Worker::HALF;
 
-    /// Distrust above the fleet's mean: when all look bad at once, no one is worse than another.
-    fn doubt(&self, now: Nanos, mean: f64) -> f64 {
-        if self.distrust > mean { (self.distrust(now) - mean).clamp(0.0, 0.95) } else { 0.0 }
+    /// Distrust above the fleet's mean: when all look bad at once, no one is worse than another. And what a
+    /// scheme alone has met here.
+    fn doubt(&self, now: Nanos, mean: f64, scheme: usize) -> f64 {
+        let all = (self.trust.now(now, Worker::HALF) - mean).clamp(0.0, 0.95);
+        let of = |at: usize| self.of[at].now(now, Worker::HALF_OF);
+        // Where a second one fails too, so may any.
+        let top = (0..self.of.len()).map(of).fold((0.0, 0.0), |(first, second), d| {
+            if d > first { (d, first) } else { (first, f64::max(d, second)) }
+        });
+        all.max(of(scheme)).max(top.1)
     }
 
-    fn blame(&mut self, now: Nanos, by: f64) {
-        let d = self.distrust(now);
-        (self.distrust, self.distrust_at) = (d + (1.0 - d) * by, now);
+    /// Guards against a worker that fails one scheme and is well otherwise: only that scheme stays away.
+    fn blame(&mut self, now: Nanos, posting: &Posting, scheme: usize, by: f64) {
+        if self.passed(posting) {
+            self.of[scheme].add(now, Worker::HALF_OF, 0.9);
+        } else {
+            self.trust.add(now, Worker::HALF, by);
+        }
     }
 
-    fn clear(&mut self, now: Nanos, by: f64) {
-        (self.distrust, self.distrust_at, self.alive) = (self.distrust(now) * (1.0 - by), now, now);
+    fn heard(&mut self, now: Nanos, by: f64) {
+        self.trust.add(now, Worker::HALF, -by);
+        self.alive = now;
     }
 
     /// How long a new job would wait for its start, by what this dispatcher knows.
@@ -135,20 +136,8 @@
         let lag = fleet.0 + fade(self.lag - fleet.0, self.lag_at, now, SECOND);
         self.queue(need, others, mean) + lag
     }
-
-    /// The wait until a seat is free, by this dispatcher's postings and so many jobs of others: what is
-    /// in the worker ends one by one, as fast as its seats work together.
-    fn queue(&self, need: f64, others: f64, mean: f64) -> f64 {
-        let count = self.out + others;
-        let enders = (count + need.min(self.seats) - self.seats).max(0.0);
-        if enders > 0.0 { enders * (self.ahead + others * mean) / count / self.seats } else { 0.0 }
-    }
 }
 
-/// The settings without which nothing can be decided; a missing one ends the start.
-const FIGURES: &str = "me come_back.allowed come_back.most probe.allowed tells_start \
-    cold.from cold.time fall.multiple fall.window";
-
 /// The timer of the beat, each second; all others carry a txn's id and leg.
 const BEAT: u64 = u64::MAX;
 const BEAT_EVERY: Nanos = 1_000_000_000;
@@ -159,32 +148,13 @@
 
 impl Dispatcher {
     pub fn start(now: Nanos, seed: u64, map: &Map) -> Result<Self, String> {
-        let count: usize = pick(map, "scheme.count")?;
-        let mut schemes = (0..count).map(|at| Scheme::read(map, at)).collect::<Result<Vec<_>, _>>()?;
-        let mut values: Vec<f64> = schemes.iter().map(|scheme| scheme.value).collect();
+        let mut new = Self::read(now, seed, map)?;
+        let mut values: Vec<f64> = new.schemes.iter().map(|scheme| scheme.value).collect();
         values.sort_by(f64::total_cmp);
+        let count = values.len();
         let median = if count == 0 { 0.0 } else { (values[(count - 1) / 2] + values[count / 2]) / 2.0 };
-        schemes.iter_mut().for_each(|scheme| scheme.high = scheme.value > median);
-        let mut figures = BTreeMap::new();
-        for name in FIGURES.split_whitespace() {
-            let number = || pick::<f64>(map, name);
-            figures.insert(name, pick::<bool>(map, name).map(f64::from).or_else(|_| number())?);
-        }
-        let fields: String = pick(map, "report.fields")?;
-        let dispatchers = pick::<f64>(map, "dispatchers")?.max(1.0);
-        Ok(Dispatcher {
-            chance: Pcg::new(seed),
-            schemes,
-            dispatchers,
-            unseen: 1.0 - 1.0 / dispatchers,
-            most_postings: pick::<usize>(map, "posting.most")?.min(LEGS),
-            report_at: ["free-slots", "inflight"].map(|name| fields.split(',').position(|f| f == name)),
-            figures,
-            list_asked: pick::<String>(map, "list.mode")? == "asked",
-            lag_at: now,
-            rare: 1.0,
-            ..Dispatcher::default()
-        })
+        new.schemes.iter_mut().for_each(|scheme| scheme.high = scheme.value > median);
+        Ok(new)
     }
 
     pub fn handle(&mut self, now: Nanos, event: Event, acts: &mut Vec<Action>) {
@@ -208,10 +178,13 @@
         acts.push(Action::Timer { at: now + BEAT_EVERY, token: BEAT });
         self.gaps.iter_mut().for_each(|gaps| gaps.measure(now));
         self.survey(now);
-        for w in self.workers.iter_mut().filter(|w| w.distrust > 0.0) {
-            if w.told != (w.doubt(now, self.distrust) > if w.told { 0.1 } else { 0.5 }) {
+        for w in &mut self.workers {
+            let limit = if w.told { 0.1 } else { 0.5 };
+            let doubted = |scheme: &usize| w.doubt(now, self.distrust, *scheme) > limit;
+            let of: Vec<usize> = (0..w.of.len()).filter(doubted).collect();
+            if w.told == of.is_empty() {
                 w.told = !w.told;
-                acts.push(Action::Say(format!("worker {}: distrusted {}", w.id, w.told)));
+                acts.push(Action::Say(format!("worker {}: distrusted with schemes {of:?}", w.id)));
             }
         }
         self.follow(now, acts);
@@ -219,7 +192,8 @@
 
     fn survey(&mut self, now: Nanos) {
         let ready = || self.workers.iter().filter(|worker| worker.standing == Standing::Ready);
-        self.distrust = ready().map(|w| w.distrust(now)).sum::<f64>() / ready().count().max(1) as f64;
+        self.distrust =
+            ready().map(|w| w.trust.now(now, Worker::HALF)).sum::<f64>() / ready().count().max(1) as f64;
         // Full capacity by what is known of the fleet: seats at their pace for its size, at the least.
         self.unit = ready().map(|w| w.seats / w.pace / w.size).fold(f64::INFINITY, f64::min);
     }
@@ -255,15 +229,14 @@
         for entry in entries {
             let at = *self.known.entry(entry.worker).or_insert(self.workers.len());
             if at == self.workers.len() {
-                let (id, started) = (entry.worker, entry.started);
-                let new = Worker { id, started, seats: 2.0, pace: 1.0, ..Worker::default() };
-                self.workers.push(Worker { budget_at: now, ..new });
+                self.workers.push(Worker::new(now, entry.worker, entry.started, self.schemes.len()));
             }
             let worker = &mut self.workers[at];
             if entry.started != worker.started {
                 // A new process: what was held against the old one is void, and it starts cold.
-                (worker.started, worker.distrust, worker.lag, worker.budget) = (entry.started, 0.0, 0.0, 0.0);
-                worker.budget_at = now;
+                (worker.trust, worker.silent, worker.lag, worker.budget) = Default::default();
+                worker.of.fill(Trust::default());
+                (worker.started, worker.budget_at) = (entry.started, now);
             }
             (worker.standing, worker.zone, worker.kind) = (entry.standing, entry.zone, entry.kind);
             (worker.group, worker.size) = (entry.group, f64::from(entry.size).max(0.01));
@@ -326,7 +299,7 @@
         targets.clear();
         targets.extend(shifts(self.schemes[at].lanes.len(), r).zip(&self.schemes[at].lanes).map(|(p, w)| {
             let worker = &self.workers[*w];
-            (1.0 + p) * worker.size * (1.0 - worker.doubt(now, self.distrust)) * self.warmth(worker, now)
+            (1.0 + p) * worker.size * (1.0 - worker.doubt(now, self.distrust, at)) * self.warmth(worker, now)
         }));
         let scheme = &mut self.schemes[at];
         let shift = if lone { 0.0 } else { [low, high][usize::from(scheme.high)] };
@@ -334,34 +307,6 @@
         self.targets = targets;
     }
 
-    /// Brings up to date what follows from the postings out and from the clock.
-    fn tally(&mut self, now: Nanos) {
-        for at in self.touched.drain(..) {
-            let worker = &mut self.workers[at];
-            (worker.out, worker.running, worker.ahead) = (0.0, 0.0, 0.0);
-        }
-        for (_, hand) in &self.txns {
-            for posting in hand.legs[..hand.posted].iter().filter(|posting| posting.out) {
-                self.touched.push(posting.worker);
-                let worker = &mut self.workers[posting.worker];
-                let age = now.saturating_sub(posting.started.unwrap_or(now)) as f64;
-                worker.out += hand.need;
-                // A job past its hint has, as such sizes go, about a third of its age still to run.
-                worker.ahead += hand.need * (hand.run * worker.pace - age).max(0.3 * age);
-                if let Some(started) = posting.started {
-                    // What an earlier process ran is lost. Guards against taking its jobs for more seats.
-                    let lives = started >= worker.started;
-                    worker.running += if lives { f64::from(hand.txn.slots) } else { 0.0 };
-                } else {
-                    let delay = posting.delay(now);
-                    if delay > fade(worker.lag, worker.lag_at, now, SECOND) {
-                        (worker.lag, worker.lag_at) = (delay, now);
-                    }
-                }
-            }
-        }
-    }
-
     /// The place of a txn among its scheme's lanes.
     fn lane(&mut self, now: Nanos, key: usize) -> usize {
         let InHand { txn, work, .. } = self.txns[key];
@@ -403,9 +348,9 @@
         let Some(place) = self.asked.iter().position(here) else { return };
         let (at, txn, _) = self.asked.swap_remove(place);
         match outcome {
-            Outcome::Settled => self.workers[at].clear(now, 0.1),
+            Outcome::Settled => self.workers[at].heard(now, 0.1),
             Outcome::Full | Outcome::Withdrawn | Outcome::Moot => {}
-            _ => self.workers[at].blame(now, 0.5),
+            _ => self.workers[at].trust.add(now, Worker::HALF, 0.5),
         }
         self.read_report(now, at, report);
         let Some(&key) = self.held.get(&txn) else { return };
@@ -425,6 +370,17 @@
         let bound = doubt.filter(|_| effect == Referenced);
         let (lanes, mean) = (if bound.is_some() { &scheme.all } else { &scheme.lanes }, scheme.mean());
         let fleet = self.unseen * fade(self.lag, self.lag_at, now, SECOND * self.rare);
+        // A silent worker is tried with what may be repeated, ever more rarely. Guards against leaving out for all
+        // who only fails one scheme, or lost one job.
+        let tries = |at: &&usize| {
+            let worker = &self.workers[**at];
+            let rested =
+                |s: Silence| now > s.tried + (s.tried - s.since) + (0.5 * SECOND * self.sharers) as Nanos;
+            worker.silent.is_some_and(rested) && self.warmth(worker, now) >= 1.0
+        };
+        if let Some(at) = lanes.iter().find(tries).filter(|_| effect == Repeatable && hand.posted == 0) {
+            return Some((*at, 0.0, 0.0));
+        }
         let (mut least, mut best) = (f64::INFINITY, None);
         for step in 0..2 * lanes.len() {
             let far = step.div_ceil(2);
@@ -443,7 +399,7 @@
             }
             let worker = &self.workers[at];
             let part = (worker.seats.round() / self.dispatchers).max(1.0);
-            let doubt = worker.doubt(now, self.distrust);
+            let doubt = worker.doubt(now, self.distrust, usize::from(txn.scheme));
             if self.warmth(worker, now) < 1.0 && self.budget(worker, now) < work {
                 continue;
             }
@@ -455,8 +411,14 @@
             if worker.out + need.min(part) <= part && doubt < 0.25 && strain < 0.05 {
                 return Some((at, wait, strain));
             }
-            // Own jobs in flight, and their work, weigh again: what others see and do is alike.
-            let cost = strain + (worker.ahead / room + worker.out) / worker.seats + doubt;
+            // Own jobs in flight, and their work, weigh again: what others see and do is alike. A job that fails
+            // loses all, one that waits out its room a part: doubt weighs twice. And it failed there before.
+            let failed = hand.legs[..hand.posted].iter().any(|posting| posting.worker == at);
+            let cost = strain
+                + (worker.ahead / room + worker.out) / worker.seats
+                + doubt
+                + worker.of[usize::from(txn.scheme)].now(now, Worker::HALF_OF)
+                + f64::from(failed);
             if cost < least {
                 (least, best) = (cost, Some((at, wait, strain)));
             }
@@ -530,6 +492,7 @@
         let hand = &mut self.txns[key];
         let worker = &mut self.workers[at];
         (worker.budget, worker.budget_at) = (left - hand.work, now);
+        worker.silent.iter_mut().for_each(|silence| silence.tried = now);
         let expected = worker.queue(hand.need, 0.0, 0.0);
         hand.legs[hand.posted] = Posting { worker: at, at: now, expected, started: None, out: true };
         let token = token(hand.txn.id, hand.posted);
@@ -549,8 +512,16 @@
         let Some((key, posting)) = self.posting(txn, leg) else { return };
         self.txns[key].legs[usize::from(leg)].started = Some(now);
         self.tally(now);
+        let first_come = self.first_come;
         let worker = &mut self.workers[posting.worker];
-        worker.clear(now, 0.1);
+        worker.heard(now, 0.1);
+        worker.reached = worker.reached.max(if first_come { posting.at } else { 0 });
+        if let Some(silence) = worker.silent.take() {
+            worker.trust = Trust::default();
+            if worker.passed(&silence.posting) {
+                worker.of[silence.scheme].add(now, Worker::HALF_OF, 0.9);
+            }
+        }
         (worker.lag, worker.lag_at) = (posting.delay(now), now);
         let hand = &self.txns[key];
         // The fleet's delay, in rooms of the txn (past 1.5 none is sent), is the mean of some ten starts.
@@ -578,11 +549,15 @@
             return self.place(now, key, acts);
         }
         let Some((_, posting)) = self.posting(txn, leg as u8) else { return };
+        let scheme = usize::from(hand.txn.scheme);
         let worker = &mut self.workers[posting.worker];
         // A worker that has shown life since is only busy; one that has not may be hung.
         let silent = posting.started.is_none() && worker.alive < posting.at;
         let by = if silent { 0.8 } else { f64::from(posting.started.is_some()) * 0.15 };
-        worker.blame(now, by);
+        worker.blame(now, &posting, scheme, by);
+        if silent {
+            worker.silent.get_or_insert(Silence { posting, scheme, since: now, tried: now });
+        }
         let age = now - posting.started.unwrap_or(posting.at);
         acts.push(Action::Timer { at: now + age.max(300_000_000), token });
     }
@@ -592,7 +567,8 @@
         let Some((key, posting)) = self.posting(txn, leg) else { return };
         self.txns[key].legs[usize::from(leg)].out = false;
         self.read_report(now, posting.worker, report);
-        let (run, due) = (self.txns[key].run, self.txns[key].due);
+        let InHand { run, due, txn: Txn { scheme, .. }, .. } = self.txns[key];
+        let scheme = usize::from(scheme);
         let worker = &mut self.workers[posting.worker];
         if sorted(outcome) == Input::NotRun {
             // Its wait is this txn's whole room. Guards against a worker that is full, dead or drains
@@ -606,10 +582,16 @@
                     let pace = ((now - from) as f64 / run).clamp(0.2, 10.0);
                     worker.pace += 0.1 * (pace - worker.pace);
                 }
-                worker.clear(now, 0.2);
+                worker.heard(now, 0.2);
+                worker.of[scheme].add(now, Worker::HALF_OF, -0.2);
+            }
+            Outcome::Error => {
+                // Starts do not make up for it. Guards against a worker that starts all and fails most.
+                worker.of[scheme].add(now, Worker::HALF_OF, 0.3);
+                worker.blame(now, &posting, scheme, 0.5);
             }
-            Outcome::Error | Outcome::TimeOut => worker.blame(now, 0.5),
-            Outcome::NoConnection | Outcome::Broken => worker.blame(now, 0.6),
+            Outcome::TimeOut => worker.blame(now, &posting, scheme, 0.5),
+            Outcome::NoConnection | Outcome::Broken => worker.blame(now, &posting, scheme, 0.6),
             Outcome::Full | Outcome::Unfit | Outcome::Withdrawn | Outcome::Moot => {}
         }
         let input = if complete { Input::Settled } else { sorted(outcome) };
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -1,6 +1,8 @@
 use super::*;
-use crate::state::bin_of;
+use crate::pcg::Pcg;
+use crate::state::{Gaps, bin_of};
 use crate::types::WorkerId;
+use std::collections::BTreeMap;
 use test_case::test_case;
 
 const MS: Nanos = 1_000_000;
@@ -283,7 +285,68 @@
     handle(&mut d, 0, Event::Arrived(txn(1, 0, 100 * MS, 0)));
     let ended = Ended { txn: 1, leg: 0, outcome, complete: false, report: Report::default() };
     let reversed = handle(&mut d, 0, Event::Ended(ended)) == [Action::Reverse { txn: 1 }];
-    (reversed, d.workers[0].distrust)
+    (reversed, d.workers[0].trust.distrust)
+}
+
+/// Guards against a worker that fails one scheme in silence and is left out for all, or taken for full.
+#[test_case(true => (true, false, 1.0); "passed over by a job sent later")]
+#[test_case(false => (true, true, 2.0); "nothing starts")]
+fn silence_where_others_start_is_of_the_scheme_alone(starts: bool) -> (bool, bool, f64) {
+    let mut d = dispatcher(1);
+    handle(&mut d, MS, Event::Arrived(txn(1, 2, 100 * MS, MS)));
+    handle(&mut d, 50 * MS, Event::Arrived(txn(2, 0, 100 * MS, 50 * MS)));
+    if starts {
+        handle(&mut d, 60 * MS, Event::Started { txn: 2, leg: 0 });
+    }
+    handle(&mut d, 600 * MS, Event::Due { token: token(1, 0) });
+    d.tally(600 * MS);
+    let doubted = |scheme| d.workers[0].doubt(600 * MS, 0.0, scheme) > 0.25;
+    (doubted(2), doubted(0), d.workers[0].out)
+}
+
+#[test_case(0, 1_000 => true; "a repeatable one tries a silent worker")]
+#[test_case(0, 300 => false; "not at once")]
+#[test_case(2, 1_000 => false; "a once only one does not")]
+fn a_silent_worker_is_tried(scheme: u8, later: Nanos) -> bool {
+    let mut d = dispatcher(4);
+    d.figures.insert("probe.allowed", 0.0);
+    let (now, posting) = (5_000 * MS, Posting { at: 1, ..Posting::default() });
+    let silence = Silence { posting, scheme: 2, since: now, tried: now };
+    (d.workers[3].silent, d.workers[3].trust) = (Some(silence), Trust { distrust: 0.8, at: now });
+    let then = now + (later + 1) * MS;
+    let acts = handle(&mut d, then, Event::Arrived(txn(9, scheme, 10 * MS, then)));
+    acts == [Action::Post { txn: 9, worker: id(3) }]
+}
+
+/// Guards against a worker that starts all and fails most: its starts had it trusted again at once.
+#[test_case(&[0] => [true, false, false]; "one scheme")]
+#[test_case(&[0, 1] => [true, true, true]; "two schemes, so any")]
+#[test_case(&[] => [false; 3]; "none")]
+fn errors_are_held_against_the_scheme(failing: &[u8]) -> [bool; 3] {
+    let mut d = dispatcher(1);
+    for n in 0..12 {
+        let scheme = failing.get(n as usize % 2).copied().unwrap_or(2);
+        let outcome = if failing.contains(&scheme) { Outcome::Error } else { Outcome::Settled };
+        handle(&mut d, 0, Event::Arrived(txn(n, scheme, 100 * MS, 0)));
+        handle(&mut d, 0, Event::Started { txn: n, leg: 0 });
+        let ended = Ended { txn: n, leg: 0, outcome, complete: false, report: Report::default() };
+        handle(&mut d, 0, Event::Ended(ended));
+    }
+    let late = 20 * SECOND as Nanos;
+    [0, 1, 2].map(|scheme| d.workers[0].doubt(late, 0.0, scheme) > 0.25)
+}
+
+/// Guards against a txn posted again to the worker that has just failed it.
+#[test]
+fn a_txn_goes_elsewhere_after_an_error() {
+    let mut d = dispatcher(2);
+    let mut acts = handle(&mut d, 0, Event::Arrived(txn(1, 0, 100 * MS, 0)));
+    let ended = Ended { txn: 1, leg: 0, outcome: Outcome::Error, complete: false, report: Report::default() };
+    let [Action::Post { worker: first, .. }] = acts[..] else { panic!("{acts:?}") };
+    d.workers.iter_mut().for_each(|worker| (worker.lag, worker.lag_at) = (0.1 * SECOND, 0));
+    d.distrust = 0.9;
+    acts = handle(&mut d, 0, Event::Ended(ended));
+    assert!(matches!(acts[..], [Action::Post { worker, .. }] if worker != first), "{acts:?}");
 }
 
 #[test]
@@ -310,12 +373,12 @@
 #[test]
 fn distrust_of_all_is_distrust_of_none() {
     let mut d = dispatcher(3);
-    d.workers.iter_mut().for_each(|worker| worker.blame(0, 0.8));
+    d.workers.iter_mut().for_each(|worker| worker.blame(0, &Posting::default(), 0, 0.8));
     d.beat(0, &mut Vec::new());
-    assert!(d.workers.iter().all(|worker| worker.doubt(0, d.distrust) == 0.0));
-    d.workers[1].blame(0, 0.9);
+    assert!(d.workers.iter().all(|worker| worker.doubt(0, d.distrust, 0) == 0.0));
+    d.workers[1].blame(0, &Posting::default(), 0, 0.9);
     d.beat(0, &mut Vec::new());
-    assert!(d.workers[1].doubt(0, d.distrust) > 0.1 && d.workers[0].doubt(0, d.distrust) == 0.0);
+    assert!(d.workers[1].doubt(0, d.distrust, 0) > 0.1 && d.workers[0].doubt(0, d.distrust, 0) == 0.0);
 }
 
 /// Sizes at which a division by nothing or a place past the end would show.
--- a/src/state.rs
+++ b/src/state.rs
@@ -122,6 +122,35 @@
     }
 }
 
+/// Distrust, as of a moment.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Trust {
+    pub distrust: f64,
+    pub at: Nanos,
+}
+
+impl Trust {
+    /// What is left of it now, if it halves in `half`.
+    pub fn now(&self, now: Nanos, half: f64) -> f64 {
+        fade(self.distrust, self.at, now, half)
+    }
+
+    /// Moves it so far of the way to the most, or to none where `by` is below 0.
+    pub fn add(&mut self, now: Nanos, half: f64, by: f64) {
+        let d = self.now(now, half);
+        (self.distrust, self.at) = (d + by * if by > 0.0 { 1.0 - d } else { d }, now);
+    }
+}
+
+/// The posting and its scheme, when it was noticed, and when a job last went to try the worker.
+#[derive(Clone, Copy, Debug)]
+pub struct Silence {
+    pub posting: Posting,
+    pub scheme: usize,
+    pub since: Nanos,
+    pub tried: Nanos,
+}
+
 #[derive(Default)]
 pub struct Worker {
     pub id: WorkerId,
@@ -135,8 +164,13 @@
     pub seats: f64,
     /// Running time for one unit of hinted work.
     pub pace: f64,
-    pub distrust: f64,
-    pub distrust_at: Nanos,
+    pub trust: Trust,
+    /// What each scheme alone has met.
+    pub of: Vec<Trust>,
+    /// Silent since a posting that should have started.
+    pub silent: Option<Silence>,
+    /// When the latest posting of those that it has started was sent.
+    pub reached: Nanos,
     /// When it last gave a sign of life.
     pub alive: Nanos,
     /// How much longer the last posting waited for its start than this dispatcher's own work explains.
@@ -156,6 +190,28 @@
     pub told: bool,
 }
 
+impl Worker {
+    /// One just heard of: two seats, and the pace of the hints.
+    pub fn new(now: Nanos, id: WorkerId, started: Nanos, schemes: usize) -> Self {
+        let of = vec![Trust::default(); schemes];
+        Worker { id, started, of, seats: 2.0, pace: 1.0, budget_at: now, ..Worker::default() }
+    }
+
+    /// Whether it is served first come first served and has started what was posted later: by more than
+    /// connections differ in the time they take.
+    pub fn passed(&self, posting: &Posting) -> bool {
+        posting.started.is_none() && self.reached > posting.at + 20_000_000
+    }
+
+    /// The wait until a seat is free, by this dispatcher's postings and so many jobs of others: what is
+    /// in the worker ends one by one, as fast as its seats work together.
+    pub fn queue(&self, need: f64, others: f64, mean: f64) -> f64 {
+        let count = self.out + others;
+        let enders = (count + need.min(self.seats) - self.seats).max(0.0);
+        if enders > 0.0 { enders * (self.ahead + others * mean) / count / self.seats } else { 0.0 }
+    }
+}
+
 /// Four bins an octave (`PARTS`, of like width) from 1 ms up reach 64 s: narrower than a hint is exact.
 pub const BINS: usize = 64;
 pub const PARTS: usize = 4;
@@ -265,6 +321,14 @@
         self.last = Some(now);
     }
 
+    /// The design page's figures: over 5 s, and the last estimate stays until 100 gaps exist.
+    pub fn measure(&mut self, now: Nanos) {
+        if now - self.from < 5_000_000_000 || self.count < 100.0 {
+            return;
+        }
+        *self = Gaps { from: now, last: self.last, estimate: self.autocorrelation(), ..Gaps::default() };
+    }
+
     /// The lag-one autocorrelation of the gaps counted.
     pub fn autocorrelation(&self) -> f64 {
         let mean = self.sum / self.count;
@@ -296,6 +360,8 @@
     /// The settings that are numbers, or yes (1) and no (0).
     pub(crate) figures: BTreeMap<&'static str, f64>,
     pub(crate) list_asked: bool,
+    /// Whether workers start jobs in the order of their coming.
+    pub(crate) first_come: bool,
     pub(crate) following: bool,
     pub(crate) ask_at: Nanos,
     pub(crate) ask_failures: u32,
@@ -323,7 +389,69 @@
     pub(crate) targets: Vec<f64>,
 }
 
+/// The settings without which nothing can be decided; a missing one ends the start.
+const FIGURES: &str = "me come_back.allowed come_back.most probe.allowed tells_start \
+    cold.from cold.time fall.multiple fall.window";
+
 impl Dispatcher {
+    pub(crate) fn read(now: Nanos, seed: u64, map: &Map) -> Result<Self, String> {
+        let count: usize = pick(map, "scheme.count")?;
+        let schemes = (0..count).map(|at| Scheme::read(map, at)).collect::<Result<Vec<_>, _>>()?;
+        let mut figures = BTreeMap::new();
+        for name in FIGURES.split_whitespace() {
+            let number = || pick::<f64>(map, name);
+            figures.insert(name, pick::<bool>(map, name).map(f64::from).or_else(|_| number())?);
+        }
+        let fields: String = pick(map, "report.fields")?;
+        let dispatchers = pick::<f64>(map, "dispatchers")?.max(1.0);
+        Ok(Dispatcher {
+            chance: Pcg::new(seed),
+            schemes,
+            dispatchers,
+            unseen: 1.0 - 1.0 / dispatchers,
+            most_postings: pick::<usize>(map, "posting.most")?.min(LEGS),
+            report_at: ["free-slots", "inflight"].map(|name| fields.split(',').position(|f| f == name)),
+            figures,
+            list_asked: pick::<String>(map, "list.mode")? == "asked",
+            first_come: pick_or::<String>(map, "queue.order", "fifo".to_string())? == "fifo",
+            lag_at: now,
+            rare: 1.0,
+            ..Dispatcher::default()
+        })
+    }
+
+    /// Brings up to date what follows from the postings out and from the clock.
+    pub(crate) fn tally(&mut self, now: Nanos) {
+        for at in self.touched.drain(..) {
+            let worker = &mut self.workers[at];
+            (worker.out, worker.running, worker.ahead) = (0.0, 0.0, 0.0);
+        }
+        for (_, hand) in &self.txns {
+            for posting in hand.legs[..hand.posted].iter().filter(|posting| posting.out) {
+                self.touched.push(posting.worker);
+                let worker = &mut self.workers[posting.worker];
+                // Guards against a worker that lost one job and is then taken for full until that expires.
+                if worker.passed(posting) {
+                    continue;
+                }
+                let age = now.saturating_sub(posting.started.unwrap_or(now)) as f64;
+                worker.out += hand.need;
+                // A job past its hint has, as such sizes go, about a third of its age still to run.
+                worker.ahead += hand.need * (hand.run * worker.pace - age).max(0.3 * age);
+                if let Some(started) = posting.started {
+                    // What an earlier process ran is lost. Guards against taking its jobs for more seats.
+                    let lives = started >= worker.started;
+                    worker.running += if lives { f64::from(hand.txn.slots) } else { 0.0 };
+                } else {
+                    let delay = posting.delay(now);
+                    if delay > fade(worker.lag, worker.lag_at, now, SECOND) {
+                        (worker.lag, worker.lag_at) = (delay, now);
+                    }
+                }
+            }
+        }
+    }
+
     /// A posting that is still out, and the place of its txn.
     pub(crate) fn posting(&self, txn: TxnId, leg: u8) -> Option<(usize, Posting)> {
         let key = *self.held.get(&txn)?;
