--- a/crates/rosewalld/src/kept/shared.rs
+++ b/crates/rosewalld/src/kept/shared.rs
@@ -44,10 +44,9 @@
     pub counters: Counters,
     pub budget: Rc<Budget>,
     pub pool: RefCell<Pool>,
-    /// Whether a list of workers is known, whether the program is to end, and whether clients are told to go.
+    /// Whether a list of workers is known, and whether the program is to end.
     pub ready: Cell<bool>,
     pub stopping: Cell<bool>,
-    pub parting: Cell<bool>,
     pub serial: Cell<TxnId>,
     pub news: Sender<News>,
 }
--- a/crates/rosewalld/src/life/start.rs
+++ b/crates/rosewalld/src/life/start.rs
@@ -49,7 +49,6 @@
         pool: RefCell::new(Pool::new(idle)),
         ready: Cell::new(false),
         stopping: Cell::new(false),
-        parting: Cell::new(false),
         serial: Cell::new(0),
         news: tell,
         names,
--- a/crates/rosewalld/src/life/stop.rs
+++ b/crates/rosewalld/src/life/stop.rs
@@ -1,6 +1,4 @@
 //! The planned stop: all that was taken is answered, and no one is cut off who could still be served.
-//! Who has a connection is served over it nearly to the end. Guards against clients that are sent away and find no
-//! one else, as where each has a dispatcher of its own.
 use crate::kept::shared::{News, Shared};
 use async_channel::Sender;
 use async_executor::Task;
@@ -18,8 +16,6 @@
 const MORE: Nanos = 700_000_000;
 /// Of that, kept for deciding and writing the last answers.
 const SPARE: Nanos = 300_000_000;
-/// How often it is looked whether clients are left.
-const TURN: Duration = Duration::from_millis(5);
 
 /// How long after the signal all must be answered.
 pub fn within(map: &Map) -> Nanos {
@@ -35,17 +31,10 @@
     Timer::after(LISTEN_ON).await;
     drop(end);
     accepting.await;
-    // In the last moments who is answered is told to go, and at the end who still waits is closed.
-    for moment in [by - SPARE, by] {
-        while shared.budget.clients() > 0 && shared.clock.now() < moment {
-            Timer::after(TURN).await;
-        }
-        shared.parting.set(true);
-    }
     let last = by + SPARE / 2;
     while shared.budget.clients() > 0 && shared.clock.now() < last {
         while shared.budget.close_waiting() {}
-        Timer::after(TURN).await;
+        Timer::after(Duration::from_millis(5)).await;
     }
     log::info!("{} clients were still connected at the end", shared.budget.clients());
 }
--- a/crates/rosewalld/src/wire/client_io.rs
+++ b/crates/rosewalld/src/wire/client_io.rs
@@ -197,7 +197,7 @@
             self.shared.tell(News::Left(txn));
             return Err(io::ErrorKind::UnexpectedEof.into());
         };
-        let keeps = keeps && !self.shared.parting.get();
+        let keeps = keeps && !self.shared.stopping.get();
         let written = self.write(&client::answer(&answer, keeps)).await;
         if written.is_err() {
             self.shared.counters.answers_unsent.add();
