Simplify on a second reading: one place counts answers, silence refuted is blame, less fading

Found by reading the change again; behaviour stays. The hub counted and sent the answer to a known id beside the function that does so, which left a dead arm there, and copied each id once more for the order of ends; a refuted silence repeated blame's rule; every arrival looked for silent workers before it was asked whether it may try one, and faded distrusts of nothing.

--- a/crates/rosewalld/src/kept/hub.rs
+++ b/crates/rosewalld/src/kept/hub.rs
@@ -168,9 +168,7 @@
     fn arrived(&mut self, txn: TxnId, at: Nanos, request: Request, reply: Sender<Answer>) {
         // Guards against the id of another client's request: posted again it would run twice.
         if !self.state.ids.insert(request.id.as_str().into()) {
-            self.shared.counters.requests_known.add();
-            let _ = reply.try_send(Answer::Known);
-            return;
+            return self.give(&reply, Answer::Known);
         }
         self.shared.counters.requests.add();
         let expiry = (at + request.within).saturating_sub(MARGIN);
@@ -240,7 +238,7 @@
             if held.legs.is_empty() {
                 self.state.ids.remove(held.request.id.as_str());
             } else {
-                self.state.over.push_back(held.request.id.as_str().into());
+                self.state.over.extend(self.state.ids.get(held.request.id.as_str()).cloned());
             }
             if self.state.over.len() > REMEMBERED
                 && let Some(id) = self.state.over.pop_front()
@@ -253,6 +251,12 @@
     /// Gives the final answer, if it is still owed.
     fn answer(&mut self, txn: TxnId, answer: Answer) -> bool {
         let Some(reply) = self.held(txn).and_then(|held| held.reply.take()) else { return false };
+        self.give(&reply, answer);
+        true
+    }
+
+    /// Counts an answer and sends it.
+    fn give(&self, reply: &Sender<Answer>, answer: Answer) {
         let counters = &self.shared.counters;
         match answer {
             Answer::Settled(_) => counters.settled.add(),
@@ -261,7 +265,6 @@
             Answer::Known => counters.requests_known.add(),
         }
         let _ = reply.try_send(answer);
-        true
     }
 
     fn due(&mut self, now: Nanos, due: Due) {
--- a/crates/rosewalld/src/wire/client_io.rs
+++ b/crates/rosewalld/src/wire/client_io.rs
@@ -143,8 +143,7 @@
     /// Reads until something is heard. Who has asked before may be silent for long; else, and once a request has
     /// begun, it must be whole in time. Guards against clients that say nothing, trickle or fall silent in one.
     async fn hear(&mut self) -> io::Result<Heard> {
-        let in_time = Instant::now() + REQUEST_WITHIN;
-        let mut until = if self.asked { in_time - REQUEST_WITHIN + IDLE_WITHIN } else { in_time };
+        let mut until = Instant::now() + if self.asked { IDLE_WITHIN } else { REQUEST_WITHIN };
         let (waits, close) = self.shared.budget.waits(self.asked);
         let mut waits = Some(waits);
         loop {
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -378,7 +378,10 @@
                 |s: Silence| now > s.tried + (s.tried - s.since) + (0.5 * SECOND * self.sharers) as Nanos;
             worker.silent.is_some_and(rested) && self.warmth(worker, now) >= 1.0
         };
-        if let Some(at) = lanes.iter().find(tries).filter(|_| effect == Repeatable && hand.posted == 0) {
+        if effect == Repeatable
+            && hand.posted == 0
+            && let Some(at) = lanes.iter().find(tries)
+        {
             return Some((*at, 0.0, 0.0));
         }
         let (mut least, mut best) = (f64::INFINITY, None);
@@ -512,15 +515,12 @@
         let Some((key, posting)) = self.posting(txn, leg) else { return };
         self.txns[key].legs[usize::from(leg)].started = Some(now);
         self.tally(now);
-        let first_come = self.first_come;
         let worker = &mut self.workers[posting.worker];
         worker.heard(now, 0.1);
-        worker.reached = worker.reached.max(if first_come { posting.at } else { 0 });
+        worker.reached = worker.reached.max(if self.first_come { posting.at } else { 0 });
         if let Some(silence) = worker.silent.take() {
             worker.trust = Trust::default();
-            if worker.passed(&silence.posting) {
-                worker.of[silence.scheme].add(now, Worker::HALF_OF, 0.9);
-            }
+            worker.blame(now, &silence.posting, silence.scheme, 0.0);
         }
         (worker.lag, worker.lag_at) = (posting.delay(now), now);
         let hand = &self.txns[key];
--- a/src/state.rs
+++ b/src/state.rs
@@ -132,7 +132,8 @@
 impl Trust {
     /// What is left of it now, if it halves in `half`.
     pub fn now(&self, now: Nanos, half: f64) -> f64 {
-        fade(self.distrust, self.at, now, half)
+        // Mostly there is none; then nothing need be worked out.
+        if self.distrust > 0.0 { fade(self.distrust, self.at, now, half) } else { 0.0 }
     }
 
     /// Moves it so far of the way to the most, or to none where `by` is below 0.
