Send a posting by one function, kept connection first, then a new one

Found on a second reading: post() carried a kept connection, a flag and a closure side by side through nested matches to say one thing. Behaviour stays; the tests on dropped connections and lacking descriptors hold unchanged.

--- a/crates/rosewalld/src/kept/shared.rs
+++ b/crates/rosewalld/src/kept/shared.rs
@@ -66,6 +66,12 @@
         conn
     }
 
+    /// A kept connection, idle since then, broke as it was used.
+    pub fn broke(&self, since: Nanos) {
+        self.pool.borrow_mut().broke(self.clock.now(), since);
+        self.counters.pool_broke.add();
+    }
+
     /// Makes room for one more descriptor: idle connections to workers go first, then idle clients.
     pub fn make_room(&self) -> bool {
         if self.pool.borrow_mut().evict() {
--- a/crates/rosewalld/src/wire/worker_io.rs
+++ b/crates/rosewalld/src/wire/worker_io.rs
@@ -6,7 +6,7 @@
 use crate::wire::worker::{Reply, Sounding, Told, probe};
 use async_io::{Async, Timer};
 use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
-use rosewall::types::{Outcome, Probed, Report, TxnId, WorkerId};
+use rosewall::types::{Nanos, Outcome, Probed, Report, TxnId, WorkerId};
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
 use std::time::Duration;
@@ -92,39 +92,34 @@
     conn.stream.write_all(&[*last]).await.is_ok()
 }
 
+/// Sends a posting over the kept connection, or over a new one where there is none or that one is dead; gives since when
+/// a kept one was idle. What could not be written whole never ran, and from there on nothing is sent again here.
+async fn sent(
+    shared: &Shared,
+    ready: Option<Conn>,
+    dial: SocketAddr,
+    limit: Duration,
+    message: &[u8],
+) -> Result<(Conn, Option<Nanos>), Outcome> {
+    if let Some(mut conn) = ready {
+        let since = conn.since;
+        if written(&mut conn, message).await {
+            return Ok((conn, Some(since)));
+        }
+        // It tells of its age, not of the worker: nothing was posted yet.
+        shared.broke(since);
+    }
+    let mut conn = connection(shared, None, dial, limit).await?;
+    if written(&mut conn, message).await { Ok((conn, None)) } else { Err(Outcome::NoConnection) }
+}
+
 /// Carries one posting; what it ended in is told once.
 pub async fn post(shared: Rc<Shared>, errand: Errand, ready: Option<Conn>) {
     let Errand { txn, leg, worker, dial, id, message, connect_within } = errand;
     let tell = |told| shared.tell(News::Told { txn, leg, told });
-    let (mut kept, since) = (None, ready.as_ref().map(|conn| conn.since));
-    let broke = || {
-        if let Some(since) = since {
-            shared.pool.borrow_mut().broke(shared.clock.now(), since);
-            shared.counters.pool_broke.add();
-        }
-    };
-    if let Some(mut conn) = ready {
-        // A kept connection found dead tells of its age, not of the worker: nothing was posted yet.
-        match written(&mut conn, &message).await {
-            true => kept = Some(conn),
-            false => broke(),
-        }
-    }
-    let fresh = kept.is_none();
-    let mut conn = match kept {
-        Some(conn) => conn,
-        None => {
-            let mut conn = match connection(&shared, None, dial, connect_within).await {
-                Ok(conn) => conn,
-                Err(outcome) => return tell(Told::Ended(outcome)),
-            };
-            // Nothing is sent again from here on: what could not be written whole never ran, and the decisions are
-            // told so.
-            if !written(&mut conn, &message).await {
-                return tell(Told::Ended(Outcome::NoConnection));
-            }
-            conn
-        }
+    let (mut conn, kept) = match sent(&shared, ready, dial, connect_within, &message).await {
+        Ok(sent) => sent,
+        Err(outcome) => return tell(Told::Ended(outcome)),
     };
     drop(message);
     let mut reply = Reply::new(id);
@@ -142,8 +137,8 @@
         };
         let count = read.or(late).await;
         if count == 0 {
-            if !heard && !fresh {
-                broke();
+            if let Some(since) = kept.filter(|_| !heard) {
+                shared.broke(since);
             }
             reply.closed().into_iter().for_each(tell);
             return;
