--- a/crates/world/src/core.rs
+++ b/crates/world/src/core.rs
@@ -25,7 +25,9 @@
 impl Chance {
     pub fn new(seed: u64, stream: u64) -> Self {
         // Spread by the golden ratio, so that seeds and streams that follow one another have nothing in common.
-        Chance(Pcg::new(seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ (stream + 1).wrapping_mul(0xd1b5_4a32_d192_ed03)))
+        Chance(Pcg::new(
+            seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ (stream + 1).wrapping_mul(0xd1b5_4a32_d192_ed03),
+        ))
     }
 
     pub fn unit(&mut self) -> f64 {
@@ -54,7 +56,10 @@
 pub enum Event {
     Wake(Waker),
     /// The next part on its way through one half of a link arrives.
-    Deliver { link: usize, half: usize },
+    Deliver {
+        link: usize,
+        half: usize,
+    },
 }
 
 #[derive(Default)]
@@ -81,7 +86,14 @@
 }
 
 impl Core {
-    pub fn new(start: Nanos, seed: u64, net: Net, judge: Judge, home: &Rc<LocalExecutor<'static>>, trace: bool) -> Rc<Self> {
+    pub fn new(
+        start: Nanos,
+        seed: u64,
+        net: Net,
+        judge: Judge,
+        home: &Rc<LocalExecutor<'static>>,
+        trace: bool,
+    ) -> Rc<Self> {
         Rc::new(Core {
             now: Cell::new(start),
             queue: RefCell::default(),
--- a/crates/world/src/net.rs
+++ b/crates/world/src/net.rs
@@ -360,6 +360,12 @@
 }
 
 impl VStream {
+    /// The machine at the other side.
+    pub fn peer(&self) -> usize {
+        let net = self.core.net.borrow();
+        net.links.get(self.link).map_or(0, |known| known.machines[1 - self.side])
+    }
+
     /// What this side writes, as the judge sees it.
     pub fn sent(&self) -> Rc<Half> {
         self.flow(self.side)
@@ -504,7 +510,9 @@
     fn end(&self) -> io::Result<()> {
         {
             let mut net = self.core.net.borrow_mut();
-            let Some(known) = net.links.get_mut(self.link) else { return Err(ErrorKind::NotConnected.into()) };
+            let Some(known) = net.links.get_mut(self.link) else {
+                return Err(ErrorKind::NotConnected.into());
+            };
             if known.broken[self.side] {
                 return Err(ErrorKind::NotConnected.into());
             }
