--- a/crates/world/src/client.rs
+++ b/crates/world/src/client.rs
@@ -400,17 +400,15 @@
             Some(())
         };
         let mut inbox = Inbox::default();
-        let (answer, _) = futures_lite::future::zip(
-            by(core, until, inbox.message(&mut stream, true)),
-            by(core, until, again),
-        )
-        .await;
-        match answer {
-            Some(Ok(Some(message))) => {
-                core.judge.borrow_mut().answered(core.now(), txn, message.status, &message.body);
+        let first = async {
+            match by(core, until, inbox.message(&mut stream, true)).await {
+                Some(Ok(Some(message))) => {
+                    core.judge.borrow_mut().answered(core.now(), txn, message.status, &message.body);
+                }
+                _ => core.judge.borrow_mut().lost(core.now(), txn, "whose id came twice"),
             }
-            _ => core.judge.borrow_mut().lost(core.now(), txn, "whose id came twice"),
-        }
+        };
+        futures_lite::future::zip(first, by(core, until, again)).await;
         Some(())
     }
 }
--- a/crates/world/src/lib.rs
+++ b/crates/world/src/lib.rs
@@ -5,9 +5,12 @@
 mod client;
 pub mod core;
 pub mod draw;
+pub mod explore;
 mod http;
 pub mod judge;
 mod net;
+#[cfg(feature = "sabotage")]
+pub mod sabotage;
 pub mod scenario;
 mod worker;
 pub mod world;
--- a/crates/world/src/scenario.rs
+++ b/crates/world/src/scenario.rs
@@ -306,7 +306,7 @@
     Reload,
     /// As `Reload`, and the new address answers only after the time.
     ReloadDead,
-    /// Two thirds of a dispatcher's descriptors are taken away for a time, by a reload.
+    /// Half of a dispatcher's descriptors are taken away for a time, by a reload, but 64.
     Tighten,
 }
 
