--- a/crates/drive/src/client.rs
+++ b/crates/drive/src/client.rs
@@ -4,7 +4,7 @@
 use async_channel::Receiver;
 use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
 use rosewall::types::Nanos;
-use rosewall_node::budget::Slot;
+use rosewall_node::budget::{Slot, Waiter};
 use rosewall_wire::client::{self, Answer, Heard, Intake, Request};
 use std::io;
 use std::rc::Rc;
@@ -23,6 +23,15 @@
 /// what a request may hold.
 const PART_WITHIN: Duration = Duration::from_millis(500);
 const PART_MOST: usize = 160 * 1024;
+/// How long someone at the door waits for room before being told that there is none: a few short txns' time, and short
+/// beside expiries.
+const ROOM_WITHIN: Duration = Duration::from_millis(50);
+/// One who has asked waits so long for the place of one who has not: those may keep it no longer.
+const ASKER_WITHIN: Duration = Duration::from_millis(100);
+/// Who is only told so must ask within this time.
+const TOLD_WITHIN: Duration = Duration::from_millis(100);
+/// At the end of a stop, those whom the machine has accepted are taken or told so within this time.
+const LAST_WITHIN: Duration = Duration::from_millis(500);
 /// Connections that the system takes in before they are accepted: more than a crowd opens while one turn is taken.
 const BACKLOG: i32 = 1024;
 /// Reads are as large as most requests with their head.
@@ -37,6 +46,7 @@
         let _ = end.recv().await;
     };
     let accepting = async {
+        let mut full_since = None;
         loop {
             // Room is made only for someone who is there.
             if let Err(error) = door.ready().await {
@@ -44,19 +54,35 @@
                 pause(&shared.ground, PAUSE).await;
                 continue;
             }
-            let Some(slot) = shared.budget.client() else {
+            let slot = match shared.budget.client() {
+                Some(slot) => (slot, false),
                 // The one who makes room has its turn before the next look.
-                if shared.make_client_room() {
+                None if shared.make_client_room() => {
                     futures_lite::future::yield_now().await;
-                } else {
-                    shared.counters.accept_paused.add();
-                    pause(&shared.ground, PAUSE).await;
+                    continue;
+                }
+                None => {
+                    let now = shared.ground.now();
+                    let since = *full_since.get_or_insert(now);
+                    let away = now >= since + nanos(ROOM_WITHIN);
+                    let Some(slot) = away.then(|| shared.budget.turned_away()).flatten() else {
+                        shared.counters.accept_paused.add();
+                        pause(&shared.ground, PAUSE).await;
+                        continue;
+                    };
+                    (slot, true)
                 }
-                continue;
             };
             match door.accept() {
-                Ok(stream) => take(&shared, stream, slot),
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Ok(stream) => {
+                    take(&shared, stream, slot);
+                    // Only a door at which no one waits ends a time without room. Guards against a queue there that
+                    // goes on for as long as a place falls free now and then, and ages all who are in it.
+                    if futures_lite::future::poll_once(door.ready()).await.is_none() {
+                        full_since = None;
+                    }
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => full_since = None,
                 Err(error) => {
                     // Guards against an end of the program, or a spin, where descriptors run out.
                     shared.counters.accept_failed.add();
@@ -71,7 +97,14 @@
         }
     };
     accepting.or(ended).await;
-    while let Some(slot) = shared.budget.client() {
+    // Who finds no more room is still told so.
+    let late = shared.ground.now() + nanos(LAST_WITHIN);
+    while shared.ground.now() < late {
+        let slot = shared.budget.client().map(|slot| (slot, false));
+        let Some(slot) = slot.or_else(|| shared.budget.turned_away().map(|slot| (slot, true))) else {
+            pause(&shared.ground, PAUSE).await;
+            continue;
+        };
         match door.accept() {
             Ok(stream) => take(&shared, stream, slot),
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
@@ -80,12 +113,13 @@
     }
 }
 
-fn take<G: Ground>(shared: &Rc<Shared<G>>, stream: G::Stream, slot: Slot) {
+/// Serves a connection, or only tells it that there is no room.
+fn take<G: Ground>(shared: &Rc<Shared<G>>, stream: G::Stream, (slot, away): (Slot, bool)) {
     shared.counters.clients_accepted.add();
     let (shared, ground) = (shared.clone(), &shared.ground);
     let serving = async move {
         let (intake, buffer) = (Intake::default(), vec![0; READ]);
-        let mut link = Link { shared, stream, intake, buffer, asked: false, slot };
+        let mut link = Link { shared, stream, intake, buffer, asked: false, away, slot };
         // What ends a connection is the client's doing, or was counted.
         let _ = link.serve().await;
     };
@@ -99,6 +133,8 @@
     buffer: Vec<u8>,
     /// Whether it has asked for something before.
     asked: bool,
+    /// Whether it is only told that there is no room.
+    away: bool,
     slot: Slot,
 }
 
@@ -107,6 +143,14 @@
         self.shared.ground.now()
     }
 
+    fn waiter(&self, asked: bool) -> Waiter {
+        match (self.away, asked) {
+            (true, _) => Waiter::Away,
+            (false, true) => Waiter::Known,
+            (false, false) => Waiter::Stranger,
+        }
+    }
+
     async fn serve(&mut self) -> io::Result<()> {
         loop {
             let heard = self.hear().await?;
@@ -128,7 +172,13 @@
                     return self.part().await;
                 }
                 Heard::Request(request) => {
-                    if !self.carry(request).await? {
+                    let at = self.now();
+                    if self.away && !self.room().await {
+                        self.shared.counters.turned_away.add();
+                        self.write(&client::answer(&Answer::Declined { come_back: 0 }, false)).await?;
+                        return self.part().await;
+                    }
+                    if !self.carry(at, request).await? {
                         return self.part().await;
                     }
                 }
@@ -139,8 +189,13 @@
     /// Reads until something is heard. Who has asked before may be silent for long; else, and once a request has
     /// begun, it must be whole in time. Guards against clients that say nothing, trickle or fall silent in one.
     async fn hear(&mut self) -> io::Result<Heard> {
-        let mut until = self.now() + nanos(if self.asked { IDLE_WITHIN } else { REQUEST_WITHIN });
-        let (waits, close) = self.shared.budget.waits(self.now(), self.asked);
+        let limit = match (self.away, self.asked) {
+            (true, _) => TOLD_WITHIN,
+            (false, true) => IDLE_WITHIN,
+            (false, false) => REQUEST_WITHIN,
+        };
+        let mut until = self.now() + nanos(limit);
+        let (waits, close) = self.shared.budget.waits(self.now(), self.waiter(self.asked));
         let mut waits = Some(waits);
         loop {
             if let Some(heard) = self.intake.next(&self.shared.names) {
@@ -180,9 +235,28 @@
         }
     }
 
-    /// Hands a request to the hub and writes its answer; false where the connection ends with it.
-    async fn carry(&mut self, request: Request) -> io::Result<bool> {
-        let at = self.now();
+    /// A place for one who has asked where there was none; false where none comes free soon. Guards against a crowd
+    /// that says nothing and has those turned away that ask.
+    async fn room(&mut self) -> bool {
+        let until = self.now() + nanos(ASKER_WITHIN);
+        loop {
+            if let Some(slot) = self.shared.budget.client() {
+                (self.slot, self.away) = (slot, false);
+                return true;
+            }
+            if !self.shared.budget.anyone_waits() || self.now() >= until {
+                return false;
+            }
+            if self.shared.make_client_room() {
+                futures_lite::future::yield_now().await;
+            } else {
+                pause(&self.shared.ground, PAUSE).await;
+            }
+        }
+    }
+
+    /// Hands a request that was read at `at` to the hub and writes its answer; false where the connection ends with it.
+    async fn carry(&mut self, at: Nanos, request: Request) -> io::Result<bool> {
         let (txn, keeps, bytes) = (self.shared.next_txn(), request.keeps, request.body.len());
         let (reply, answered) = async_channel::bounded(1);
         self.shared.tell(News::Arrived { txn, at, request, reply });
@@ -224,7 +298,7 @@
     /// needed. Guards against a reset that overtakes the answer.
     async fn part(&mut self) -> io::Result<()> {
         self.stream.end()?;
-        let (_waits, close) = self.shared.budget.waits(self.now(), false);
+        let (_waits, close) = self.shared.budget.waits(self.now(), self.waiter(false));
         let closed = async {
             let _ = close.recv().await;
             Ok(())
--- a/crates/drive/src/discovery.rs
+++ b/crates/drive/src/discovery.rs
@@ -1,7 +1,7 @@
 //! Reads and writes for discovery: the whole list, then one watch kept unbroken.
 use crate::ground::{Ground, Stream, pause, within};
 use crate::shared::{News, Shared};
-use async_channel::Receiver;
+use async_channel::{Receiver, Sender};
 use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
 use rosewall_wire::discovery::{self, Bulletin};
 use std::convert::Infallible;
@@ -20,42 +20,71 @@
 const PAUSE_MOST: Duration = Duration::from_millis(1600);
 const READ: usize = 16 * 1024;
 
-/// Follows the list for ever, from each address that `moves` names, at once. Where it comes only when asked, it waits
-/// for leave before each new attempt, and the decisions are told of failures; else it pauses a little longer after each.
+/// Follows the list for ever, from each address that `moves` names. Where it comes only when asked, it waits for leave
+/// before each new attempt, and the decisions are told of failures; else it pauses a little longer after each.
 pub async fn follow<G: Ground>(
     shared: Rc<Shared<G>>,
-    mut address: SocketAddr,
+    address: SocketAddr,
     moves: Receiver<SocketAddr>,
     leave: Option<Receiver<()>>,
+) {
+    let (shared, leave) = (&*shared, leave.as_ref());
+    let (told, _) = async_channel::bounded(1);
+    let mut old = Box::pin(tend(shared, address, leave, true, told));
+    loop {
+        let stays = async {
+            old.as_mut().await;
+            None
+        };
+        let moved = async { moves.recv().await.ok() };
+        let Some(mut to) = stays.or(moved).await else { return };
+        // Until the new one has told its first list the old one goes on. Guards against changes that no one hears
+        // while the configuration names an agent that does not answer yet.
+        old = loop {
+            let (told, first) = async_channel::bounded(1);
+            let mut new = Box::pin(tend(shared, to, leave, false, told));
+            let both = async {
+                futures_lite::future::zip(old.as_mut(), new.as_mut()).await;
+                None
+            };
+            let told = async { first.recv().await.ok().map(|()| None) };
+            let moved = async { moves.recv().await.ok().map(Some) };
+            match both.or(told).or(moved).await {
+                // Guards against a watch that stays with an agent that the configuration has left again.
+                Some(Some(next)) => to = next,
+                Some(None) => break new,
+                None => return,
+            }
+        };
+    }
+}
+
+/// Follows the list at one address for ever; `told` hears of the first one. `waits` is whether leave is needed for the
+/// first attempt too.
+async fn tend<G: Ground>(
+    shared: &Shared<G>,
+    address: SocketAddr,
+    leave: Option<&Receiver<()>>,
+    mut waits: bool,
+    told: Sender<()>,
 ) {
     let mut rest = PAUSE;
     loop {
-        if let Some(leave) = &leave
+        if let Some(leave) = leave
+            && std::mem::replace(&mut waits, true)
             && leave.recv().await.is_err()
         {
             return;
         }
         let mut seen = false;
-        loop {
-            let broken = async {
-                let Err(fault) = watch(&shared, address, &mut seen).await;
-                shared.counters.lists_failed.add();
-                log::warn!("discovery: {fault}");
-                if leave.is_some() {
-                    shared.tell(News::ListFailed);
-                } else {
-                    rest = if seen { PAUSE } else { (rest * 2).min(PAUSE_MOST) };
-                    pause(&shared.ground, rest).await;
-                }
-                None
-            };
-            // Guards against a watch that stays with an agent that the configuration has left, and against a
-            // pause meant for the old one.
-            let moved = async { moves.recv().await.ok() };
-            match broken.or(moved).await {
-                Some(to) => address = to,
-                None => break,
-            }
+        let Err(fault) = watch(shared, address, &mut seen, &told).await;
+        shared.counters.lists_failed.add();
+        log::warn!("discovery: {fault}");
+        if leave.is_some() {
+            shared.tell(News::ListFailed);
+        } else {
+            rest = if seen { PAUSE } else { (rest * 2).min(PAUSE_MOST) };
+            pause(&shared.ground, rest).await;
         }
     }
 }
@@ -65,6 +94,7 @@
     shared: &Shared<G>,
     address: SocketAddr,
     seen: &mut bool,
+    told: &Sender<()>,
 ) -> Result<Infallible, String> {
     let (mut kept, mut from) = (None, None);
     loop {
@@ -87,6 +117,7 @@
         (*seen, from) = (true, Some(listing.seq));
         shared.counters.lists.add();
         shared.tell(News::List(listing));
+        let _ = told.try_send(());
         kept = keeps.then_some(stream);
     }
 }
--- a/crates/drive/src/hub.rs
+++ b/crates/drive/src/hub.rs
@@ -10,8 +10,16 @@
 use rosewall_wire::client::Answer;
 use rosewall_wire::discovery::Listing;
 use rustc_hash::FxHashMap;
+use std::cell::Cell;
 use std::rc::Rc;
 
+/// A posting that is out; dropping it closes its connection.
+struct Out {
+    task: Task<()>,
+    /// Whether it was called off.
+    off: Rc<Cell<bool>>,
+}
+
 pub struct HubDriver<G: Ground> {
     pub shared: Rc<Shared<G>>,
     pub news: Receiver<News<G>>,
@@ -20,8 +28,7 @@
     pub leave: Option<Sender<()>>,
     /// Where the answer goes, for each txn that is owed one.
     replies: FxHashMap<TxnId, Sender<Answer>>,
-    /// The postings that are out; dropping a task closes its connection.
-    out: FxHashMap<(TxnId, u8), Task<()>>,
+    out: FxHashMap<(TxnId, u8), Out>,
     effects: Vec<Effect>,
 }
 
@@ -122,13 +129,19 @@
                     shared.counters.posted_new.add()
                 }
                 let place = (errand.txn, errand.leg);
-                let task = shared.ground.spawn(worker::post(shared.clone(), errand, ready));
-                self.out.insert(place, task);
+                let off = Rc::new(Cell::new(false));
+                let task = shared.ground.spawn(worker::post(shared.clone(), errand, ready, off.clone()));
+                self.out.insert(place, Out { task, off });
+            }
+            Effect::CallOff { txn, leg } => {
+                if let Some(out) = self.out.get(&(txn, leg)) {
+                    out.off.set(true);
+                }
             }
             Effect::Cut { txn, leg } => drop(self.out.remove(&(txn, leg))),
             Effect::Done { txn, leg } => {
-                if let Some(task) = self.out.remove(&(txn, leg)) {
-                    task.detach();
+                if let Some(out) = self.out.remove(&(txn, leg)) {
+                    out.task.detach();
                 }
             }
             Effect::Probe { worker, dial, host, limit } => {
--- a/crates/drive/src/worker.rs
+++ b/crates/drive/src/worker.rs
@@ -6,6 +6,7 @@
 use rosewall_node::budget::Slot;
 use rosewall_node::hub::Errand;
 use rosewall_wire::worker::{Reply, Sounding, Told, probe};
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -58,10 +59,16 @@
     })
 }
 
-/// Writes a posting; false where the connection broke before the last byte was written, so that it never ran.
+/// Writes a posting; false where the connection broke before the last byte was written, or it was called off by then,
+/// so that it never ran.
 /// Guards against kept connections that the worker has dropped in silence, which show it only when written to: the
 /// last byte waits until what came before it could have been answered with a reset.
-async fn written<G: Ground>(ground: &G, conn: &mut Conn<G::Stream>, message: &[u8]) -> bool {
+async fn written<G: Ground>(
+    ground: &G,
+    conn: &mut Conn<G::Stream>,
+    message: &[u8],
+    off: &Cell<bool>,
+) -> bool {
     let Some((last, most)) = message.split_last() else { return false };
     if conn.stream.write_all(most).await.is_err() {
         return false;
@@ -75,7 +82,7 @@
     if answered.or(silent).await && conn.stream.look() != Look::Bytes {
         return false;
     }
-    conn.stream.write_all(&[*last]).await.is_ok()
+    !off.get() && conn.stream.write_all(&[*last]).await.is_ok()
 }
 
 /// Sends a posting over the kept connection, or over a new one where there is none or that one is dead; gives since when
@@ -86,28 +93,37 @@
     dial: SocketAddr,
     limit: Duration,
     message: &[u8],
+    off: &Cell<bool>,
 ) -> Result<(Conn<G::Stream>, Option<Nanos>), Outcome> {
     if let Some((mut conn, since)) = ready {
-        if written(&shared.ground, &mut conn, message).await {
+        if written(&shared.ground, &mut conn, message, off).await {
             return Ok((conn, Some(since)));
         }
+        if off.get() {
+            return Err(Outcome::Moot);
+        }
         // It tells of its age, not of the worker: nothing was posted yet.
         shared.broke(since);
     }
     let mut conn = connection(shared, None, dial, limit).await?;
-    if written(&shared.ground, &mut conn, message).await {
-        Ok((conn, None))
-    } else {
-        Err(Outcome::NoConnection)
+    // Not a byte goes out for a client who has left while it came up.
+    if !off.get() && written(&shared.ground, &mut conn, message, off).await {
+        return Ok((conn, None));
     }
+    Err(if off.get() { Outcome::Moot } else { Outcome::NoConnection })
 }
 
-/// Carries one posting; what it ended in is told once.
-pub async fn post<G: Ground>(shared: Rc<Shared<G>>, errand: Errand, ready: Option<(Conn<G::Stream>, Nanos)>) {
+/// Carries one posting, unless it is called off before its last byte; what it ended in is told once.
+pub async fn post<G: Ground>(
+    shared: Rc<Shared<G>>,
+    errand: Errand,
+    ready: Option<(Conn<G::Stream>, Nanos)>,
+    off: Rc<Cell<bool>>,
+) {
     let Errand { txn, leg, worker, dial, id, message, connect_within } = errand;
     let connect_within = Duration::from_nanos(connect_within);
     let tell = |told| shared.tell(News::Told { txn, leg, told });
-    let (mut conn, kept) = match sent(&shared, ready, dial, connect_within, &message).await {
+    let (mut conn, kept) = match sent(&shared, ready, dial, connect_within, &message, &off).await {
         Ok(sent) => sent,
         Err(outcome) => return tell(Told::Ended(outcome)),
     };
--- a/crates/node/src/budget.rs
+++ b/crates/node/src/budget.rs
@@ -9,6 +9,9 @@
 /// the listener, discovery's, and files opened for a moment; twice what was counted.
 const KEPT_BACK: usize = 32;
 
+/// Of those kept back, how many may be taken by clients that are only told that there is no room.
+const TO_TURN_AWAY: usize = 8;
+
 /// What a client's connection holds before its request is large: the buffer it is read by, a head and its task.
 const CLIENT_BYTES: usize = 32 * 1024;
 
@@ -22,22 +25,36 @@
 /// Who waits for a client's bytes, oldest first, each with a way to tell it to close.
 type Waiting = BTreeMap<u64, (Nanos, Sender<()>)>;
 
+/// Who waits for a client's bytes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Waiter {
+    /// One that has not asked yet.
+    Stranger,
+    /// One that has asked before.
+    Known,
+    /// One that is only told that there is no room: to close it gives no place.
+    Away,
+}
+
 #[derive(Default)]
 pub struct Budget {
     most: Cell<usize>,
     most_clients: Cell<usize>,
     most_bytes: Cell<usize>,
     used: Cell<usize>,
+    turned_away: Cell<usize>,
     clients: Cell<usize>,
     bytes: Cell<usize>,
-    /// Those that have not asked yet, and those that have.
-    waiting: [RefCell<Waiting>; 2],
+    /// Those that have not asked yet, those that have, and those that hold no place.
+    waiting: [RefCell<Waiting>; 3],
     serial: Cell<u64>,
 }
 
 /// One descriptor in use; given back when dropped.
 pub struct Slot {
     budget: Rc<Budget>,
+    /// Whether it is one of those kept back.
+    kept_back: bool,
     /// For a client, how many bytes of its requests are held.
     client: Option<Cell<usize>>,
 }
@@ -58,6 +75,9 @@
 
 impl Drop for Slot {
     fn drop(&mut self) {
+        if self.kept_back {
+            return self.budget.turned_away.set(self.budget.turned_away.get() - 1);
+        }
         self.budget.used.set(self.budget.used.get() - 1);
         if let Some(held) = &self.client {
             self.budget.bytes.set(self.budget.bytes.get() - held.get());
@@ -94,6 +114,16 @@
         Some(slot)
     }
 
+    /// One of the few for clients that are only told that there is no room. Guards against txns that wait at the door
+    /// past their expiry.
+    pub fn turned_away(self: &Rc<Self>) -> Option<Slot> {
+        let taken = self.turned_away.get();
+        (taken < TO_TURN_AWAY).then(|| {
+            self.turned_away.set(taken + 1);
+            Slot { budget: self.clone(), kept_back: true, client: None }
+        })
+    }
+
     pub fn worker(self: &Rc<Self>) -> Option<Slot> {
         self.slot(None)
     }
@@ -103,35 +133,40 @@
             return None;
         }
         self.used.set(self.used.get() + 1);
-        Some(Slot { budget: self.clone(), client })
+        Some(Slot { budget: self.clone(), kept_back: false, client })
     }
 
     /// Descriptors in use now.
     pub fn used(&self) -> usize {
-        self.used.get()
+        self.used.get() + self.turned_away.get()
     }
 
     pub fn clients(&self) -> usize {
         self.clients.get()
     }
 
-    /// A client waits until what is given back is dropped; the channel tells it to close. `asked` is whether it has
-    /// handed in a request before.
-    pub fn waits(self: &Rc<Self>, now: Nanos, asked: bool) -> (Waits, Receiver<()>) {
+    /// A client waits until what is given back is dropped; the channel tells it to close.
+    pub fn waits(self: &Rc<Self>, now: Nanos, waiter: Waiter) -> (Waits, Receiver<()>) {
         let serial = self.serial.get();
         self.serial.set(serial + 1);
         let (close, closed) = async_channel::bounded(1);
-        self.waiting[usize::from(asked)].borrow_mut().insert(serial, (now, close));
-        (Waits { budget: self.clone(), asked, serial }, closed)
+        self.waiting[waiter as usize].borrow_mut().insert(serial, (now, close));
+        (Waits { budget: self.clone(), waiter, serial }, closed)
+    }
+
+    /// Whether there is a client whose place may fall free as it is closed.
+    pub fn anyone_waits(&self) -> bool {
+        self.waiting[..2].iter().any(|waiting| !waiting.borrow().is_empty())
     }
 
-    /// Closes the client that has waited longest; false where none waits. Guards against silent connections by the
-    /// hundred that keep others out, or have those closed that are of use.
+    /// Closes the client that has waited longest; false where none may be closed. Guards against silent connections by
+    /// the hundred that keep others out, or have those closed that are of use; and, as no one who came just now is
+    /// closed, against the loss of a first request that is on its way.
     pub fn close_waiting(&self, now: Nanos) -> bool {
-        let [strangers, known] = &self.waiting;
+        let [strangers, known, _] = &self.waiting;
         let (mut strangers, mut known) = (strangers.borrow_mut(), known.borrow_mut());
         let oldest = strangers.first_key_value().map(|(_, (since, _))| now.saturating_sub(*since));
-        let stranger = oldest.is_some_and(|waited| waited >= MEANS_TO_ASK || known.is_empty());
+        let stranger = oldest.is_some_and(|waited| waited >= MEANS_TO_ASK);
         let closed = if stranger { strangers.pop_first() } else { known.pop_first() };
         closed.is_some_and(|(_, (_, close))| close.try_send(()).is_ok())
     }
@@ -139,12 +174,12 @@
 
 pub struct Waits {
     budget: Rc<Budget>,
-    asked: bool,
+    waiter: Waiter,
     serial: u64,
 }
 
 impl Drop for Waits {
     fn drop(&mut self) {
-        self.budget.waiting[usize::from(self.asked)].borrow_mut().remove(&self.serial);
+        self.budget.waiting[self.waiter as usize].borrow_mut().remove(&self.serial);
     }
 }
--- a/crates/node/src/counters.rs
+++ b/crates/node/src/counters.rs
@@ -35,7 +35,7 @@
 
 // Their meaning stands in docs/on-call.md.
 counters! {
-    clients_accepted clients_idle_closed accept_paused accept_failed
+    clients_accepted clients_idle_closed accept_paused accept_failed turned_away
     requests requests_bad requests_cut requests_known clients_left settled declined reversed answers_unsent
     postings posted_new posted_again started ended_settled ended_error ended_unfit ended_full ended_timeout ended_unconnected
     ended_broken ended_moot settled_late
--- a/crates/node/src/hub.rs
+++ b/crates/node/src/hub.rs
@@ -68,6 +68,11 @@
         answer: Answer,
     },
     Post(Errand),
+    /// Its client has left: what was not written to its last byte yet need not be sent.
+    CallOff {
+        txn: TxnId,
+        leg: u8,
+    },
     /// The posting is given up: its connection closes.
     Cut {
         txn: TxnId,
@@ -182,6 +187,9 @@
                 if let Some(held) = self.held(txn)
                     && std::mem::take(&mut held.owed)
                 {
+                    // Guards against work that is begun for someone who has left while a connection was coming up.
+                    let legs = held.legs.iter().enumerate().filter(|(_, is_out)| **is_out);
+                    out.extend(legs.map(|(leg, _)| Effect::CallOff { txn, leg: leg as u8 }));
                     self.counters.clients_left.add();
                     self.decide(now, Event::Lapsed { txn }, out);
                     self.settle_up(txn);
@@ -207,7 +215,7 @@
 
     fn list(&mut self, now: Nanos, scope: Scope, listing: Listing, out: &mut Vec<Effect>) {
         self.ready |= scope != Scope::Kept || !listing.hosts.is_empty();
-        let (entries, void, clashing) = self.workers.take(listing);
+        let (entries, void, clashing) = self.workers.take(now, listing);
         // Connections to a process that is no more are not used again.
         out.extend(void.into_iter().map(|worker| Effect::Void { worker, dial: None }));
         self.counters.hosts_clashing.more(clashing);
--- a/crates/node/src/workers.rs
+++ b/crates/node/src/workers.rs
@@ -8,11 +8,29 @@
     host: String,
     dial: Option<SocketAddr>,
     born: Nanos,
+    standing: Standing,
 }
 
+/// How long a list whose number went back is doubted: longer than a copy that lags takes to catch up, so that a source
+/// that has lost its count and begins anew is believed in the end.
+const DOUBTED_FOR: Nanos = 60_000_000_000;
+
 #[derive(Default)]
 pub struct Workers {
     by_id: BTreeMap<WorkerId, Site>,
+    /// The highest number of a list, and since when only lower ones have come.
+    seq: u64,
+    back_since: Option<Nanos>,
+}
+
+/// The stricter of two: gone before draining before ready.
+fn stricter(one: Standing, other: Standing) -> Standing {
+    use Standing::{Draining, Gone, Ready};
+    match (one, other) {
+        (Gone, _) | (_, Gone) => Gone,
+        (Draining, _) | (_, Draining) => Draining,
+        _ => Ready,
+    }
 }
 
 /// The id follows from the host alone, so that it is the same at every dispatcher: FNV-1a (64 bits), of which
@@ -31,9 +49,21 @@
         self.by_id.get(&id).and_then(|site| Some((site.host.as_str(), site.dial?)))
     }
 
+    /// Whether a list is older than what is known. Guards against a copy of discovery that lags behind the one asked
+    /// before, and shows workers as ready that are known to drain or to be gone.
+    fn is_old(&mut self, now: Nanos, seq: u64) -> bool {
+        if seq >= self.seq || self.back_since.is_some_and(|since| now >= since + DOUBTED_FOR) {
+            (self.seq, self.back_since) = (seq, None);
+            return false;
+        }
+        self.back_since.get_or_insert(now);
+        true
+    }
+
     /// Takes in a list. Gives the entries for the decisions, the workers whose connections are not to be used
     /// again, and how many hosts were passed over because another has their id.
-    pub fn take(&mut self, listing: Listing) -> (Vec<Listed>, Vec<WorkerId>, usize) {
+    pub fn take(&mut self, now: Nanos, listing: Listing) -> (Vec<Listed>, Vec<WorkerId>, usize) {
+        let old = self.is_old(now, listing.seq);
         let (mut entries, mut void, mut clashing) = (Vec::new(), Vec::new(), 0);
         let mut left: BTreeSet<WorkerId> = match listing.whole {
             true => self.by_id.keys().copied().collect(),
@@ -41,20 +71,31 @@
         };
         for Host { host, dial, standing, zone, kind, group, size, born } in listing.hosts {
             let worker = id(&host);
-            let site = self.by_id.entry(worker).or_insert_with(|| Site { host: host.clone(), dial, born });
+            let site =
+                self.by_id.entry(worker).or_insert_with(|| Site { host: host.clone(), dial, born, standing });
             if site.host != host {
                 clashing += 1;
                 continue;
             }
             left.remove(&worker);
+            // An older list tells nothing new of the process that a newer one spoke of, but that it is worse.
+            let (standing, born) = match old && born <= site.born {
+                true => (stricter(standing, site.standing), site.born),
+                false => (standing, born),
+            };
             let dial = dial.or(site.dial);
             if site.born != born || site.dial != dial || standing == Standing::Gone {
                 void.push(worker);
             }
-            (site.dial, site.born) = (dial, born);
+            (site.dial, site.born, site.standing) = (dial, born, standing);
             entries.push(Listed { worker, standing, zone, kind, size, started: born, group });
         }
         // Whoever a whole list leaves out is gone.
+        for worker in &left {
+            if let Some(site) = self.by_id.get_mut(worker) {
+                site.standing = Standing::Gone;
+            }
+        }
         void.extend(left);
         (entries, void, clashing)
     }
