--- a/crates/drive/src/client.rs
+++ b/crates/drive/src/client.rs
@@ -3,6 +3,7 @@
 use crate::shared::{News, Shared};
 use async_channel::Receiver;
 use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
+use rosewall::sabotage::{Fault, is};
 use rosewall::types::Nanos;
 use rosewall_node::budget::{Slot, Waiter};
 use rosewall_wire::client::{self, Answer, Heard, Intake, Request};
@@ -266,7 +267,14 @@
             return Err(io::ErrorKind::UnexpectedEof.into());
         };
         let keeps = keeps && !self.shared.stopping.get();
-        let written = self.write(&client::answer(&answer, keeps)).await;
+        if is(Fault::AnswerLostAtStop) && self.shared.stopping.get() {
+            return Ok(false);
+        }
+        let mut text = client::answer(&answer, keeps);
+        if is(Fault::HalfAnswer) && txn.is_multiple_of(32) {
+            text.pop();
+        }
+        let written = self.write(&text).await;
         if written.is_err() {
             self.shared.counters.answers_unsent.add();
         }
--- a/crates/drive/src/discovery.rs
+++ b/crates/drive/src/discovery.rs
@@ -3,6 +3,7 @@
 use crate::shared::{News, Shared};
 use async_channel::{Receiver, Sender};
 use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
+use rosewall::sabotage::{Fault, is};
 use rosewall_wire::discovery::{self, Bulletin};
 use std::convert::Infallible;
 use std::io;
@@ -42,6 +43,9 @@
         // while the configuration names an agent that does not answer yet.
         old = loop {
             let (told, first) = async_channel::bounded(1);
+            if is(Fault::WatchDropped) {
+                let _ = told.try_send(());
+            }
             let mut new = Box::pin(tend(shared, to, leave, false, told));
             let both = async {
                 futures_lite::future::zip(old.as_mut(), new.as_mut()).await;
--- a/crates/drive/src/worker.rs
+++ b/crates/drive/src/worker.rs
@@ -2,6 +2,7 @@
 use crate::ground::{Ground, Look, Stream, pause, within};
 use crate::shared::{Conn, News, Shared};
 use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
+use rosewall::sabotage::{Fault, is};
 use rosewall::types::{Nanos, Outcome, Probed, Report, WorkerId};
 use rosewall_node::budget::Slot;
 use rosewall_node::hub::Errand;
@@ -147,6 +148,9 @@
                 shared.broke(since);
             }
             reply.closed().into_iter().for_each(tell);
+            if is(Fault::ConnectionLeaked) {
+                std::mem::forget(conn);
+            }
             return;
         }
         heard = true;
--- a/crates/node/src/budget.rs
+++ b/crates/node/src/budget.rs
@@ -1,5 +1,6 @@
 //! Descriptors and the bytes of requests, all counted here. What waits at the door makes room before anyone is kept out.
 use async_channel::{Receiver, Sender};
+use rosewall::sabotage::{Fault, is};
 use rosewall::types::Nanos;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -166,7 +167,7 @@
         let [strangers, known, _] = &self.waiting;
         let (mut strangers, mut known) = (strangers.borrow_mut(), known.borrow_mut());
         let oldest = strangers.first_key_value().map(|(_, (since, _))| now.saturating_sub(*since));
-        let stranger = oldest.is_some_and(|waited| waited >= MEANS_TO_ASK);
+        let stranger = oldest.is_some_and(|waited| waited >= MEANS_TO_ASK || is(Fault::ClosedAtOnce));
         let closed = if stranger { strangers.pop_first() } else { known.pop_first() };
         closed.is_some_and(|(_, (_, close))| close.try_send(()).is_ok())
     }
--- a/crates/node/src/hub.rs
+++ b/crates/node/src/hub.rs
@@ -4,6 +4,7 @@
 use crate::must;
 use crate::workers::Workers;
 use rosewall::policy::Dispatcher;
+use rosewall::sabotage::{Fault, is};
 use rosewall::types::{Action, Ended, Event, Nanos, Outcome, Probed, Report, Scope, Txn, TxnId, WorkerId};
 use rosewall_wire::client::{Answer, Request};
 use rosewall_wire::discovery::Listing;
@@ -177,12 +178,16 @@
 
     fn arm(&mut self, at: Nanos, due: Due) {
         self.armed += 1;
+        if is(Fault::TimerLost) && matches!(due, Due::Expiry(_)) && self.armed.is_multiple_of(16) {
+            return;
+        }
         self.timers.push(Reverse((at, self.armed, due)));
     }
 
     pub fn take(&mut self, now: Nanos, input: Input, out: &mut Vec<Effect>) {
         match input {
             Input::Arrived { txn, at, request } => self.arrived(now, txn, at, request, out),
+            Input::Left(_) if is(Fault::LeftIgnored) => {}
             Input::Left(txn) => {
                 if let Some(held) = self.held(txn)
                     && std::mem::take(&mut held.owed)
@@ -229,11 +234,13 @@
 
     fn arrived(&mut self, now: Nanos, txn: TxnId, at: Nanos, request: Request, out: &mut Vec<Effect>) {
         // Guards against the id of another client's request: posted again it would run twice.
-        if !self.ids.insert(request.id.as_str().into()) {
+        if !self.ids.insert(request.id.as_str().into()) && !is(Fault::IdTakenTwice) {
             return self.give(txn, Answer::Known, out);
         }
         self.counters.requests.add();
-        let expiry = (at + request.within).saturating_sub(MARGIN);
+        let margin = if is(Fault::LateAnswer) { 0 } else { MARGIN };
+        let late = if is(Fault::LateAnswer) { 5 * MARGIN } else { 0 };
+        let expiry = (at + request.within + late).saturating_sub(margin);
         let expiry = self.stop_by.map_or(expiry, |by| expiry.min(by));
         let Request { scheme, party, hint, slots, memory, .. } = request;
         let place = self.txns.insert(Held { txn, request, expiry, owed: true, legs: Vec::new() });
@@ -268,6 +275,8 @@
 
     /// A posting is over: the decisions are told.
     fn end(&mut self, now: Nanos, txn: TxnId, leg: u8, outcome: Outcome, out: &mut Vec<Effect>) {
+        let unrun = is(Fault::BrokenIsUnrun) && outcome == Outcome::Broken;
+        let outcome = if unrun { Outcome::NoConnection } else { outcome };
         let counters = &self.counters;
         match outcome {
             Outcome::Settled => counters.ended_settled.add(),
@@ -299,6 +308,9 @@
     fn settle_up(&mut self, txn: TxnId) {
         let Some(place) = self.places.get(&txn).copied() else { return };
         let over = |held: &Held| !held.owed && !held.legs.contains(&true);
+        if is(Fault::TxnKept) && self.txns.get(place).is_some_and(|held| held.legs.len() > 1) {
+            return;
+        }
         if self.txns.get(place).is_some_and(over) {
             self.places.remove(&txn);
             let held = self.txns.remove(place);
--- a/crates/node/src/workers.rs
+++ b/crates/node/src/workers.rs
@@ -1,4 +1,5 @@
 //! The table of workers: host, id, where to dial, when born.
+use rosewall::sabotage::{Fault, is};
 use rosewall::types::{Listed, Nanos, Standing, WorkerId};
 use rosewall_wire::discovery::{Host, Listing};
 use std::collections::{BTreeMap, BTreeSet};
@@ -52,7 +53,10 @@
     /// Whether a list is older than what is known. Guards against a copy of discovery that lags behind the one asked
     /// before, and shows workers as ready that are known to drain or to be gone.
     fn is_old(&mut self, now: Nanos, seq: u64) -> bool {
-        if seq >= self.seq || self.back_since.is_some_and(|since| now >= since + DOUBTED_FOR) {
+        if is(Fault::OldListWins)
+            || seq >= self.seq
+            || self.back_since.is_some_and(|since| now >= since + DOUBTED_FOR)
+        {
             (self.seq, self.back_since) = (seq, None);
             return false;
         }
--- a/crates/world/src/draw.rs
+++ b/crates/world/src/draw.rs
@@ -126,6 +126,19 @@
         let for_ms = *chance.among(&[50.0, 150.0, 400.0, 1000.0, 2500.0]);
         let (target, scheme) = (chance.below(0, most as u64) as usize, chance.below(0, 3) as usize);
         fault.push(Fault { at_ms, kind, target, for_ms, share, scheme });
+        // What a list says of one that drains matters most while the list itself is in trouble.
+        if matches!(kind, Trouble::Drain | Trouble::DrainReturn) && chance.is(0.4) {
+            let kind = *chance.among(&[
+                Trouble::ListBack,
+                Trouble::ListBack,
+                Trouble::ReloadDead,
+                Trouble::ListSilent,
+            ]);
+            let before = if kind == Trouble::ListBack { -400.0 } else { 20.0 };
+            let at_ms = (at_ms - before).max(0.0);
+            let target = chance.below(0, dispatchers as u64) as usize;
+            fault.push(Fault { at_ms, kind, target, for_ms: 2500.0, share: 1.0, scheme: 0 });
+        }
     }
     let bads = if chance.is(0.4) { chance.below(1, 5) } else { 0 };
     let bad = (0..bads)
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,6 +1,7 @@
 //! rosewall: decides which worker gets which txn. See `policy` for the decisions and how to call them.
 pub mod pcg;
 pub mod policy;
+pub mod sabotage;
 mod state;
 pub mod types;
 
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -6,6 +6,7 @@
 //! `types.rs`; the names that the map may hold stand in `docs/design.md`.
 //! How to read it: `TABLE` says what may follow for a txn, `choose` picks its worker, `recut` draws the
 //! lanes by DIFFEQAL, `Worker` holds what is believed of a worker, and `handle` joins them.
+use crate::sabotage::{Fault, is};
 pub use crate::state::Dispatcher;
 use crate::state::Effect::{OnceOnly, Referenced, Repeatable};
 use crate::state::Stage::{Again, Answered, Doubted, Held, Out};
@@ -239,6 +240,9 @@
                 (worker.started, worker.budget_at) = (entry.started, now);
             }
             (worker.standing, worker.zone, worker.kind) = (entry.standing, entry.zone, entry.kind);
+            if entry.standing == Standing::Draining && is(Fault::GraceIgnored) {
+                worker.standing = Standing::Ready;
+            }
             (worker.group, worker.size) = (entry.group, f64::from(entry.size).max(0.01));
         }
         let mut order: Vec<usize> = (0..self.workers.len()).collect();
@@ -367,7 +371,7 @@
         let InHand { txn, effect, work, need, doubt, .. } = *hand;
         let scheme = &self.schemes[usize::from(txn.scheme)];
         // Where a repeat is bound to a group, its workers may be any in the list.
-        let bound = doubt.filter(|_| effect == Referenced);
+        let bound = doubt.filter(|_| effect == Referenced && !is(Fault::WindowIgnored));
         let (lanes, mean) = (if bound.is_some() { &scheme.all } else { &scheme.lanes }, scheme.mean());
         let fleet = self.unseen * fade(self.lag, self.lag_at, now, SECOND * self.rare);
         // A silent worker is tried with what may be repeated, ever more rarely. Guards against leaving out for all
@@ -403,7 +407,7 @@
             let worker = &self.workers[at];
             let part = (worker.seats.round() / self.dispatchers).max(1.0);
             let doubt = worker.doubt(now, self.distrust, usize::from(txn.scheme));
-            if self.warmth(worker, now) < 1.0 && self.budget(worker, now) < work {
+            if self.warmth(worker, now) < 1.0 && self.budget(worker, now) < work && !is(Fault::ColdIgnored) {
                 continue;
             }
             let room = hand.room(now, worker.pace).max(1.0);
@@ -634,7 +638,8 @@
     fn input(&mut self, now: Nanos, txn: TxnId, input: Input, acts: &mut Vec<Action>) {
         let Some(&key) = self.held.get(&txn) else { return };
         let hand = &mut self.txns[key];
-        let (stage, step) = next(hand.stage, input, hand.effect);
+        let effect = if is(Fault::OnceOnlyAgain) { Repeatable } else { hand.effect };
+        let (stage, step) = next(hand.stage, input, effect);
         hand.stage = stage;
         match step {
             Step::Nothing => {}
--- /dev/null
+++ b/src/sabotage.rs
@@ -0,0 +1,82 @@
+//! Faults planted in the program on purpose, to show that whoever judges it can find them. Only a build with the
+//! feature `sabotage` has them, one at a time and on one thread; in all others `is` is false when it is compiled.
+
+/// What goes wrong.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// A once-only txn is posted again after it may have run.
+    OnceOnlyAgain,
+    /// A referenced txn is repeated out of its group and window.
+    WindowIgnored,
+    /// A worker that drains still gets new work.
+    GraceIgnored,
+    /// A cold worker gets whatever its lane holds.
+    ColdIgnored,
+    /// An answer that is ready while the program stops is not written.
+    AnswerLostAtStop,
+    /// Answers are decided 100 ms after the expiry.
+    LateAnswer,
+    /// The timer of one expiry in sixteen is lost.
+    TimerLost,
+    /// An old list overrides a new one.
+    OldListWins,
+    /// A client that has left is not noticed, and its txn is posted all the same.
+    LeftIgnored,
+    /// The connection of a posting that ended badly is never closed.
+    ConnectionLeaked,
+    /// The id of a txn in hand is taken again.
+    IdTakenTwice,
+    /// A connection that broke after the last byte counts as one that never came up.
+    BrokenIsUnrun,
+    /// One answer in thirty-two ends before its last byte.
+    HalfAnswer,
+    /// Whoever waits at a full door or a stop is closed at once.
+    ClosedAtOnce,
+    /// A reload drops the old watch before the new one has told anything.
+    WatchDropped,
+    /// Txns that were posted more than once stay in hand for ever.
+    TxnKept,
+}
+
+pub const ALL: &[Fault] = &[
+    Fault::OnceOnlyAgain,
+    Fault::WindowIgnored,
+    Fault::GraceIgnored,
+    Fault::ColdIgnored,
+    Fault::AnswerLostAtStop,
+    Fault::LateAnswer,
+    Fault::TimerLost,
+    Fault::OldListWins,
+    Fault::LeftIgnored,
+    Fault::ConnectionLeaked,
+    Fault::IdTakenTwice,
+    Fault::BrokenIsUnrun,
+    Fault::HalfAnswer,
+    Fault::ClosedAtOnce,
+    Fault::WatchDropped,
+    Fault::TxnKept,
+];
+
+#[cfg(feature = "sabotage")]
+thread_local! {
+    static PLANTED: std::cell::Cell<Option<Fault>> = const { std::cell::Cell::new(None) };
+}
+
+/// Plants a fault in what this thread runs from here on, or none.
+#[cfg(feature = "sabotage")]
+pub fn plant(fault: Option<Fault>) {
+    PLANTED.set(fault);
+}
+
+/// Whether this fault is planted.
+#[cfg(feature = "sabotage")]
+pub fn is(fault: Fault) -> bool {
+    PLANTED.get() == Some(fault)
+}
+
+/// No fault is planted in this build.
+#[cfg(not(feature = "sabotage"))]
+#[inline(always)]
+pub const fn is(_: Fault) -> bool {
+    false
+}
