--- a/crates/rosewalld/src/life/mod.rs
+++ b/crates/rosewalld/src/life/mod.rs
@@ -6,7 +6,9 @@
 
 pub fn run() -> ExitCode {
     logger::start();
-    match start::run() {
+    let ended = start::run();
+    log::logger().flush();
+    match ended {
         Ok(()) => ExitCode::SUCCESS,
         Err(fault) => {
             eprintln!("rosewalld: {fault}");
--- a/crates/rosewalld/tests/common/mod.rs
+++ b/crates/rosewalld/tests/common/mod.rs
@@ -323,6 +323,15 @@
 
     /// Starts it by a shell that runs `first` before.
     pub fn start_under(first: &str, configuration: &Value) -> Daemon {
+        Daemon::start_read(first, configuration, true)
+    }
+
+    /// Starts it, and reads nothing of its log once it listens.
+    pub fn start_unread(configuration: &Value) -> Daemon {
+        Daemon::start_read("", configuration, false)
+    }
+
+    fn start_read(first: &str, configuration: &Value, reads: bool) -> Daemon {
         let folder = folder();
         let file = folder.join("config.json");
         std::fs::write(&file, configuration.to_string()).unwrap();
@@ -336,9 +345,14 @@
         let log: Arc<(Mutex<Vec<String>>, Condvar)> = Arc::default();
         let (kept, errors) = (log.clone(), child.stderr.take().unwrap());
         thread::spawn(move || {
-            for line in BufReader::new(errors).lines().map_while(Result::ok) {
+            let mut lines = BufReader::new(errors).lines();
+            while let Some(Ok(line)) = lines.next() {
+                let listens = line.contains("listening on ");
                 kept.0.lock().unwrap().push(line);
                 kept.1.notify_all();
+                if listens && !reads {
+                    thread::sleep(2 * PATIENCE);
+                }
             }
         });
         let mut daemon = Daemon { child, address: String::new(), log, folder };
@@ -394,6 +408,18 @@
         }
     }
 
+    /// Sends so many signals, some time apart.
+    pub fn signals(&self, name: &str, count: u32) {
+        let pid = self.child.id();
+        let command = format!("for i in $(seq {count}); do kill -{name} {pid}; sleep 0.001; done");
+        assert!(Command::new("/bin/sh").args(["-c", &command]).status().unwrap().success());
+    }
+
+    /// Waits for the end: the exit code.
+    pub fn exit(&mut self) -> Option<i32> {
+        self.child.wait().unwrap().code()
+    }
+
     /// Waits for the end: the exit code, and the line with the counters.
     pub fn ended(&mut self) -> (Option<i32>, String) {
         let code = self.child.wait().unwrap().code();
--- a/crates/rosewalld/tests/daemon.rs
+++ b/crates/rosewalld/tests/daemon.rs
@@ -464,6 +464,36 @@
     assert_eq!((stage.postings(), new.count()), (1, 1));
 }
 
+/// The old watch goes on until the new one has told its first list.
+#[test]
+fn a_drain_is_heard_while_the_watch_moves_to_an_agent_that_says_nothing() {
+    let stage = stage(&[]);
+    let (_deaf, (deaf, _held)) = vanished_machine();
+    stage.daemon.reload(&configuration(&deaf, 1024).to_string(), "a new configuration: discovery at");
+    let lists = stage.daemon.counter("lists");
+    let [a, b] = &stage.workers;
+    stage.discovery.tell(vec![host("a", &a.dial, "draining"), host("b", &b.dial, "ready")]);
+    stage.daemon.until_counter("lists", lists + 1);
+    let mut client = stage.daemon.client();
+    for at in 0..6 {
+        assert_eq!(client.ask(&format!("id{at}"), "charge", 5.0).status, 200);
+    }
+    assert_eq!((a.count(), b.count()), (0, 6));
+}
+
+#[test]
+fn a_log_that_no_one_reads_holds_up_no_one() {
+    let worker = Worker::start(&script(&[]));
+    let discovery = Discovery::start(vec![host("a", &worker.dial, "ready")]);
+    let mut daemon = Daemon::start_unread(&configuration(&discovery.address, 1024));
+    daemon.until_ready();
+    // Far more lines than a pipe holds.
+    daemon.signals("USR1", 800);
+    assert_eq!(daemon.client().ask("id", "thumb", 5.0).status, 200);
+    daemon.signal("TERM");
+    assert_eq!(daemon.exit(), Some(0));
+}
+
 #[test]
 fn a_malformed_list_is_passed_over_and_fetched_whole_again() {
     let stage = stage(&[]);
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -5,5 +5,7 @@
 pub mod http;
 pub mod worker;
 
+#[cfg(test)]
+mod cuts_tests;
 #[cfg(test)]
 mod tests;
