Test the hub as a machine: ids, ends, leaves, expiries, stops

Need: the hub is a machine without I/O now and was tried only through sockets and worlds. Change: tests that tell it things at given moments and read what it says is to be done; small repetitions in the world's stand-ins merged.

--- /dev/null
+++ b/crates/node/src/hub_tests.rs
@@ -0,0 +1,153 @@
+//! The hub, told things at given moments; what it says is to be done.
+use super::counters::Counters;
+use super::hub::{Effect, Hub, Input};
+use rosewall::Map;
+use rosewall::policy::Dispatcher;
+use rosewall::types::{Nanos, Outcome, Standing};
+use rosewall_wire::client::{Answer, Request};
+use rosewall_wire::discovery::{Host, Listing};
+use rosewall_wire::worker::Told;
+use std::rc::Rc;
+use test_case::test_case;
+
+const MS: Nanos = 1_000_000;
+
+/// One scheme with this effect, and one worker that is listed so, or none.
+fn hub(effect: &str, standing: Option<Standing>) -> Hub {
+    let settings = [
+        ("scheme.count", "1"),
+        ("scheme.0.effect", effect),
+        ("scheme.0.group", "all"),
+        ("scheme.0.sla", "400000000"),
+        ("scheme.0.window", "5000000000"),
+        ("scheme.0.value", "1"),
+        ("me", "0"),
+        ("dispatchers", "1"),
+        ("come_back.allowed", "true"),
+        ("come_back.most", "2000000000"),
+        ("probe.allowed", "false"),
+        ("tells_start", "true"),
+        ("cold.from", "0.2"),
+        ("cold.time", "1000000000"),
+        ("fall.multiple", "4"),
+        ("fall.window", "1000000000"),
+        ("posting.most", "3"),
+        ("report.fields", ""),
+        ("list.mode", "pushed"),
+    ];
+    let map: Map = settings.iter().map(|(name, value)| (name.to_string(), value.to_string())).collect();
+    let dispatcher = Dispatcher::start(0, 1, &map).unwrap();
+    let mut hub = Hub::new(dispatcher, Rc::new(Counters::default()), 250 * MS);
+    let entry = |standing| Host {
+        host: "a".into(),
+        dial: Some(([127, 0, 0, 1], 9).into()),
+        standing,
+        zone: 0,
+        kind: 0,
+        group: 0,
+        size: 1.0,
+        born: 0,
+    };
+    let hosts = standing.into_iter().map(entry).collect();
+    hub.kept(0, Listing { seq: 1, whole: true, hosts }, &mut Vec::new());
+    hub
+}
+
+fn request(id: &str) -> Request {
+    Request { id: id.into(), within: 500 * MS, hint: Some(5 * MS), slots: 1.0, ..Request::default() }
+}
+
+/// The effects in words, in order.
+fn words(effects: &mut Vec<Effect>) -> Vec<String> {
+    let word = |effect| match effect {
+        Effect::Answer { txn, answer } => match answer {
+            Answer::Settled(_) => format!("settled {txn}"),
+            Answer::Declined { .. } => format!("declined {txn}"),
+            Answer::Reversed => format!("reversed {txn}"),
+            Answer::Known => format!("known {txn}"),
+        },
+        Effect::Post(errand) => format!("post {} {}", errand.txn, errand.leg),
+        Effect::CallOff { txn, leg } => format!("off {txn} {leg}"),
+        Effect::Cut { txn, leg } => format!("cut {txn} {leg}"),
+        Effect::Done { txn, leg } => format!("done {txn} {leg}"),
+        Effect::Probe { .. } | Effect::Void { .. } | Effect::Follow => "other".to_string(),
+    };
+    effects.drain(..).map(word).collect()
+}
+
+fn arrive(hub: &mut Hub, txn: u32, id: &str) -> Vec<String> {
+    let mut out = Vec::new();
+    hub.take(MS, Input::Arrived { txn, at: MS, request: request(id) }, &mut out);
+    words(&mut out)
+}
+
+#[test]
+fn an_id_in_hand_or_posted_is_known_and_one_never_posted_is_not() {
+    let mut one = hub("once-only", Some(Standing::Ready));
+    assert_eq!(
+        (arrive(&mut one, 1, "a"), arrive(&mut one, 2, "a")),
+        (vec!["post 1 0".into()], vec!["known 2".into()])
+    );
+    let mut out = Vec::new();
+    one.take(9 * MS, Input::Told { txn: 1, leg: 0, told: Told::Settled(Vec::new()) }, &mut out);
+    assert_eq!((words(&mut out), one.in_hand()), (vec!["settled 1".to_string(), "done 1 0".into()], 0));
+    assert_eq!(arrive(&mut one, 3, "a"), ["known 3"]);
+}
+
+/// What breaks after it may have run is not sent again where that could do harm.
+#[test_case("once-only", Outcome::Broken => vec!["done 1 0", "reversed 1"]; "once-only, may have run")]
+#[test_case("once-only", Outcome::Full => vec!["done 1 0", "post 1 1"]; "once-only, proven unrun")]
+#[test_case("repeatable", Outcome::Broken => vec!["done 1 0", "post 1 1"]; "repeatable, may have run")]
+fn what_follows_an_end(effect: &str, outcome: Outcome) -> Vec<&'static str> {
+    let (mut hub, mut out) = (hub(effect, Some(Standing::Ready)), Vec::new());
+    arrive(&mut hub, 1, "a");
+    hub.take(5 * MS, Input::Told { txn: 1, leg: 0, told: Told::Ended(outcome) }, &mut out);
+    let known = ["done 1 0", "reversed 1", "post 1 1", "declined 1"];
+    words(&mut out)
+        .iter()
+        .map(|word| *known.iter().find(|known| *known == word).unwrap_or(&"other"))
+        .collect()
+}
+
+#[test]
+fn a_client_that_leaves_has_its_posting_called_off_and_gets_no_answer() {
+    let (mut hub, mut out) = (hub("once-only", Some(Standing::Ready)), Vec::new());
+    arrive(&mut hub, 1, "a");
+    hub.take(5 * MS, Input::Left(1), &mut out);
+    assert_eq!(words(&mut out), ["off 1 0"]);
+    hub.take(6 * MS, Input::Told { txn: 1, leg: 0, told: Told::Settled(Vec::new()) }, &mut out);
+    assert_eq!((words(&mut out), hub.in_hand()), (vec!["done 1 0".to_string()], 0));
+}
+
+#[test]
+fn at_its_expiry_a_posting_is_cut_and_the_txn_answered_before_its_client_gives_up() {
+    let (mut hub, mut out) = (hub("once-only", Some(Standing::Ready)), Vec::new());
+    arrive(&mut hub, 1, "a");
+    let mut at = 0;
+    while let Some(due) = hub.next_due().filter(|due| *due < 2_000 * MS) {
+        at = due;
+        hub.due(due, &mut out);
+        if !out.is_empty() {
+            break;
+        }
+    }
+    assert_eq!((words(&mut out), at), (vec!["cut 1 0".to_string(), "reversed 1".into()], 481 * MS));
+}
+
+#[test]
+fn a_stop_brings_all_forward_to_its_moment() {
+    let (mut hub, mut out) = (hub("once-only", Some(Standing::Ready)), Vec::new());
+    arrive(&mut hub, 1, "a");
+    hub.take(10 * MS, Input::Stop(100 * MS), &mut out);
+    while hub.next_due().is_some_and(|due| due <= 100 * MS) {
+        hub.due(100 * MS, &mut out);
+    }
+    assert_eq!((words(&mut out), hub.in_hand()), (vec!["cut 1 0".to_string(), "reversed 1".into()], 0));
+}
+
+#[test_case(None; "no worker is known")]
+#[test_case(Some(Standing::Draining); "the only one drains")]
+fn nothing_is_posted_without_a_worker_that_is_ready(standing: Option<Standing>) {
+    let mut hub = hub("once-only", standing);
+    assert_eq!(arrive(&mut hub, 1, "a"), Vec::<String>::new());
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -14,4 +14,6 @@
 #[cfg(test)]
 mod given_tests;
 #[cfg(test)]
+mod hub_tests;
+#[cfg(test)]
 mod tests;
--- a/crates/world/src/judge.rs
+++ b/crates/world/src/judge.rs
@@ -56,7 +56,6 @@
 }
 
 struct Attempt {
-    machine: usize,
     zone: usize,
     cell: usize,
     first: Nanos,
@@ -385,7 +384,7 @@
         }
         blames.into_iter().for_each(|(rule, what)| self.blame(now, rule, what));
         let truth = &mut self.txns[txn];
-        truth.attempts.push(Attempt { machine, zone: at.zone, cell: at.cell, first, proof: None });
+        truth.attempts.push(Attempt { zone: at.zone, cell: at.cell, first, proof: None });
         Some(truth.attempts.len() - 1)
     }
 
@@ -500,15 +499,6 @@
             }
         }
     }
-
-    /// Postings that a dispatcher still has under way count for no one; for reports.
-    pub fn attempts_of(&self, machine: usize) -> usize {
-        self.txns
-            .iter()
-            .flat_map(|truth| &truth.attempts)
-            .filter(|attempt| attempt.machine == machine)
-            .count()
-    }
 }
 
 /// Who posted, and when the first and the last byte were written.
--- a/crates/world/src/worker.rs
+++ b/crates/world/src/worker.rs
@@ -328,7 +328,6 @@
     /// The job waits its turn, runs and is done; its connection may end meanwhile.
     async fn in_turn(&self, stream: &mut VStream) -> Option<bool> {
         let (core, process) = (self.core(), &self.process);
-        let mut headed = false;
         if process.running.get() >= process.spec.slots {
             if process.queue.borrow().len() >= process.spec.queue {
                 return self.turn_away(stream, UNSTARTED).await;
@@ -361,11 +360,7 @@
         let seat = Seat(process.clone());
         process.unstalled().await;
         self.runs();
-        let mut text = String::new();
-        if !std::mem::replace(&mut headed, true) {
-            text.push_str(CHUNKED);
-        }
-        text.push_str(&chunk(&line(&self.id, "started", "")));
+        let text = format!("{CHUNKED}{}", chunk(&line(&self.id, "started", "")));
         let mut open = stream.write_all(text.as_bytes()).await.is_ok();
         let warmth = core.judge.borrow().warmth(core.now(), process.born);
         let slow = process.troubles.borrow().slow;
