Keep a reborn worker's address against an older list; no spin in a stop's last accepts

Cause, found on a second reading: of an older list the standing was held back but not the address, so a worker born again elsewhere was dialled where it had been; and an accept that failed for want of descriptors at the end of a stop was tried again without a wait, up to 0.5 s in which no one else had a turn.

--- a/crates/drive/src/client.rs
+++ b/crates/drive/src/client.rs
@@ -111,7 +111,12 @@
         match door.accept() {
             Ok(stream) => take(&shared, stream, slot, None),
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
-            Err(error) => log::warn!("cannot accept: {error}"),
+            Err(error) => {
+                // Guards against a spin where descriptors run out, in which no one else has a turn.
+                shared.counters.accept_failed.add();
+                log::warn!("cannot accept: {error}");
+                pause(&shared.ground, PAUSE).await;
+            }
         }
     }
 }
--- a/crates/node/src/tests.rs
+++ b/crates/node/src/tests.rs
@@ -179,3 +179,14 @@
     drop(away);
     assert_eq!(budget.used(), 2);
 }
+
+/// Guards against the address of a process that is no more, told by a list from before its successor.
+#[test]
+fn an_old_list_takes_no_worker_back_to_its_old_address() {
+    let mut workers = Workers::default();
+    let list =
+        |seq, port, born| Listing { seq, whole: false, hosts: vec![host("a", port, Standing::Ready, born)] };
+    workers.take(0, list(9, 2, 5));
+    workers.take(0, list(3, 1, 0));
+    assert_eq!(workers.reach(id("a")).map(|(_, dial)| dial.port()), Some(2));
+}
--- a/crates/node/src/workers.rs
+++ b/crates/node/src/workers.rs
@@ -83,11 +83,10 @@
             }
             left.remove(&worker);
             // An older list tells nothing new of the process that a newer one spoke of, but that it is worse.
-            let (standing, born) = match old && born <= site.born {
-                true => (stricter(standing, site.standing), site.born),
-                false => (standing, born),
+            let (standing, born, dial) = match old && born <= site.born {
+                true => (stricter(standing, site.standing), site.born, site.dial.or(dial)),
+                false => (standing, born, dial.or(site.dial)),
             };
-            let dial = dial.or(site.dial);
             if site.born != born || site.dial != dial || standing == Standing::Gone {
                 void.push(worker);
             }
