Send to cold workers by turns, so that a job fits into the budget of one dispatcher

Causes: budget() gave each of twelve sharers a flow of its own, 0.04 s of work at the coldest, in which no job of 0.2 s fits; survey() took the least capacity of all ready workers, which falls with their number; list() kept to whoever was in use, so survivors drew all; wait() took an idle cold worker for as busy as the jammed fleet, and kept() then declined. Ruled out: connections (none failed), descriptors (83 of 384), processor time, and the 25 ms retries (next to none were held).

Changed: one turn a window, by the dispatchers' numbers and a common clock, with a quarter of what the rule allows and the lane as wide as the whole worker; capacity by the mean over warm workers; turns alone say who keeps to whom; no fleet's delay for a worker in one's own turn. The hub writes each step of a txn to the log at debug level, off by default.

--- a/crates/node/src/hub.rs
+++ b/crates/node/src/hub.rs
@@ -243,6 +243,7 @@
         let expiry = (at + request.within + late).saturating_sub(margin);
         let expiry = self.stop_by.map_or(expiry, |by| expiry.min(by));
         let Request { scheme, party, hint, slots, memory, .. } = request;
+        log::debug!("at={now} txn={txn} arrived scheme={scheme} hint={}", hint.unwrap_or(0));
         let place = self.txns.insert(Held { txn, request, expiry, owed: true, legs: Vec::new() });
         self.places.insert(txn, place);
         self.arm(expiry, Due::Expiry(txn));
@@ -260,6 +261,7 @@
         }
         match told {
             Told::Started => {
+                log::debug!("at={now} txn={txn} leg={leg} started");
                 self.counters.started.add();
                 self.decide(now, Event::Started { txn, leg }, out);
             }
@@ -275,6 +277,7 @@
 
     /// A posting is over: the decisions are told.
     fn end(&mut self, now: Nanos, txn: TxnId, leg: u8, outcome: Outcome, out: &mut Vec<Effect>) {
+        log::debug!("at={now} txn={txn} leg={leg} ended {outcome:?}");
         let unrun = is(Fault::BrokenIsUnrun) && outcome == Outcome::Broken;
         let outcome = if unrun { Outcome::NoConnection } else { outcome };
         let counters = &self.counters;
@@ -411,15 +414,16 @@
         match action {
             Action::Post { txn, worker } => self.post(now, txn, worker, out),
             Action::Probe { worker } => self.probe(worker, out),
-            Action::Decline { txn, come_back } => self.refuse(txn, Answer::Declined { come_back }, out),
-            Action::Reverse { txn } => self.refuse(txn, Answer::Reversed, out),
+            Action::Decline { txn, come_back } => self.refuse(now, txn, Answer::Declined { come_back }, out),
+            Action::Reverse { txn } => self.refuse(now, txn, Answer::Reversed, out),
             Action::Follow => out.push(Effect::Follow),
             Action::Timer { at, token } => self.arm(at, Due::Decisions(token)),
             Action::Say(text) => log::info!("{text}"),
         }
     }
 
-    fn refuse(&mut self, txn: TxnId, answer: Answer, out: &mut Vec<Effect>) {
+    fn refuse(&mut self, now: Nanos, txn: TxnId, answer: Answer, out: &mut Vec<Effect>) {
+        log::debug!("at={now} txn={txn} answered {answer:?}");
         let owed = self.answer(txn, answer, out);
         must!(self.counters, owed, "only a txn that is owed an answer gets one");
         self.settle_up(txn);
@@ -441,6 +445,7 @@
             return self.events.push_back(Event::Ended(ended));
         };
         counters.postings.add();
+        log::debug!("at={now} txn={txn} leg={leg} posted host={host}");
         let message =
             worker::posting(&host, &held.request.target, &held.request.id, left, &held.request.body);
         let id = held.request.id.clone();
--- a/crates/node/src/workers.rs
+++ b/crates/node/src/workers.rs
@@ -91,6 +91,7 @@
                 void.push(worker);
             }
             (site.dial, site.born, site.standing) = (dial, born, standing);
+            log::debug!("at={now} host={host} listed {standing:?} born={born}");
             entries.push(Listed { worker, standing, zone, kind, size, started: born, group });
         }
         // Whoever a whole list leaves out is gone.
--- a/crates/rosewalld/src/life/logger.rs
+++ b/crates/rosewalld/src/life/logger.rs
@@ -1,5 +1,5 @@
 //! A line a message on standard error: seconds since the start, level, text. Lines are written by a thread of their own.
-use log::{Level, LevelFilter, Log, Metadata, Record};
+use log::{LevelFilter, Log, Metadata, Record};
 use std::io::Write;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
@@ -24,7 +24,7 @@
 
 impl Log for Logger {
     fn enabled(&self, metadata: &Metadata) -> bool {
-        metadata.level() <= Level::Info
+        metadata.level() <= log::max_level()
     }
 
     /// Never waits. Guards against a log that no one reads, which would hold up all txns; what finds no room is
@@ -81,6 +81,7 @@
     }
     let logger = Logger { start: Instant::now(), notes, lost: AtomicU64::new(0) };
     if log::set_boxed_logger(Box::new(logger)).is_ok() {
-        log::set_max_level(LevelFilter::Info);
+        let level = std::env::var("ROSEWALL_LOG").ok().and_then(|level| level.parse().ok());
+        log::set_max_level(level.unwrap_or(LevelFilter::Info));
     }
 }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -19,6 +19,10 @@
 #[cfg(test)]
 mod tests;
 
+/// Each dispatcher keeps to so many workers that twelve share each: of one to a hundred and more, few enough to hear of
+/// them and reuse connections, enough that uneven traffic evens out.
+const SHARERS: f64 = 12.0;
+
 const ALL: &[Effect] = &[Repeatable, Referenced, OnceOnly];
 
 /// States, input, for which effects, next state, effect. What is not listed changes nothing.
@@ -195,8 +199,12 @@
         let ready = || self.workers.iter().filter(|worker| worker.standing == Standing::Ready);
         self.distrust =
             ready().map(|w| w.trust.now(now, Worker::HALF)).sum::<f64>() / ready().count().max(1) as f64;
-        // Full capacity by what is known of the fleet: seats at their pace for its size, at the least.
-        self.unit = ready().map(|w| w.seats / w.pace / w.size).fold(f64::INFINITY, f64::min);
+        // Full capacity by what is known of the fleet: seats at their pace for their size, on the mean, by the warmth.
+        // Guards against what is sure of a worker falling with the number of them: of many one is always slow.
+        let full = ready().map(|w| (self.warmth(w, now), w.seats / w.pace / w.size));
+        let (sum, all) =
+            full.fold((0.0, 0.0), |(sum, all), (warmth, full)| (sum + warmth * full, all + warmth));
+        self.unit = sum / f64::max(all, f64::MIN_POSITIVE);
     }
 
     fn says(&self, name: &str) -> f64 {
@@ -243,6 +251,10 @@
             if entry.standing == Standing::Draining && is(Fault::GraceIgnored) {
                 worker.standing = Standing::Ready;
             }
+            if scope == Scope::Kept {
+                // What this turn's budget held may have been sent before a restart.
+                worker.budget = f64::INFINITY;
+            }
             (worker.group, worker.size) = (entry.group, f64::from(entry.size).max(0.01));
         }
         let mut order: Vec<usize> = (0..self.workers.len()).collect();
@@ -253,16 +265,12 @@
         for scheme in &mut self.schemes {
             let fits = |w: &usize| scheme.kind < 0 || i64::from(workers[*w].kind) == scheme.kind;
             scheme.all = order.iter().copied().filter(fits).collect();
-            // Each dispatcher keeps to so many workers that twelve share each: of one to a hundred and more,
-            // few enough to hear of them and reuse connections, enough that uneven traffic evens out.
             let n = scheme.all.len();
-            let m = ((12.0 * n as f64 / self.dispatchers).ceil() as usize).min(n);
+            let m = ((SHARERS * n as f64 / self.dispatchers).ceil() as usize).min(n);
             // One of each stretch of ids: one in use if there is, else by turns over the dispatchers.
             let pick = |lane: usize| {
                 let among = &scheme.all[lane * n / m..(lane + 1) * n / m];
-                let used = among.iter().filter(|at| workers[**at].alive > 0);
-                let turn = (me + lane * (me / among.len())) % among.len();
-                *used.max_by_key(|at| workers[**at].alive).unwrap_or(&among[turn])
+                among[(me + lane * (me / among.len())) % among.len()]
             };
             scheme.lanes = (0..m).map(pick).collect();
             self.sharers = f64::max(self.sharers, self.dispatchers * m as f64 / (n as f64).max(1.0));
@@ -280,15 +288,33 @@
         (from + (1.0 - from) * age / self.says("cold.time").max(1.0)).min(1.0)
     }
 
+    /// Of how many that may send to a cold worker by turns this dispatcher is one, and whether its turn is now: all
+    /// clocks are one, and the numbers next to each other take different workers of a stretch, so that of those
+    /// that keep to a worker one has the turn. Guards against parts of a budget so small that no job fits in one.
+    fn turn(&self, worker: &Worker, now: Nanos) -> (f64, bool) {
+        let turns = SHARERS.min(self.dispatchers);
+        let place = (self.says("me") * turns / self.dispatchers) as u64;
+        let [a, b, c, d] = worker.id.addr.map(u64::from);
+        let from = a + b + c + d + u64::from(worker.id.port);
+        (turns, (place + from + self.window(now)).is_multiple_of(turns as u64))
+    }
+
+    /// The number of the window that the rule on cold workers counts in.
+    fn window(&self, now: Nanos) -> u64 {
+        now / (self.says("fall.window") as u64).max(1)
+    }
+
     /// What this dispatcher may still send to a cold worker now.
     fn budget(&self, worker: &Worker, now: Nanos) -> f64 {
+        if !self.turn(worker, now).1 {
+            return 0.0;
+        }
         let capacity = self.unit * worker.size * self.warmth(worker, now);
-        // Half as a store and half as a flow keep any window under the whole; 0.5 for what hints miss.
-        // As many again by half may share it as by turns, where changes of the list moved some.
-        let sharers = (1.5 * self.sharers).min(self.dispatchers);
-        let rate = 0.5 * self.says("fall.multiple") * capacity / sharers / 2.0;
-        let gained = rate * now.saturating_sub(worker.budget_at) as f64;
-        (worker.budget + gained).min(rate * self.says("fall.window"))
+        // Any window meets two turns, which may hold half of what is allowed: the rest is for work beyond its hint,
+        // and for two that have one turn as the list changes.
+        let most = 0.25 * self.says("fall.multiple") * capacity * self.says("fall.window");
+        let spent = self.window(worker.budget_at) == self.window(now);
+        most - if spent { worker.budget } else { 0.0 }
     }
 
     /// Draws a scheme's lanes anew.
@@ -302,8 +328,13 @@
         let mut targets = std::mem::take(&mut self.targets);
         targets.clear();
         targets.extend(shifts(self.schemes[at].lanes.len(), r).zip(&self.schemes[at].lanes).map(|(p, w)| {
-            let worker = &self.workers[*w];
-            (1.0 + p) * worker.size * (1.0 - worker.doubt(now, self.distrust, at)) * self.warmth(worker, now)
+            let (worker, warmth) = (&self.workers[*w], self.warmth(&self.workers[*w], now));
+            // One that is sent to by turns has the whole of its part in its turn.
+            let part = match self.turn(worker, now) {
+                _ if warmth >= 1.0 => 1.0,
+                (turns, mine) => warmth * turns * f64::from(mine),
+            };
+            (1.0 + p) * worker.size * (1.0 - worker.doubt(now, self.distrust, at)) * part
         }));
         let scheme = &mut self.schemes[at];
         let shift = if lone { 0.0 } else { [low, high][usize::from(scheme.high)] };
@@ -407,11 +438,14 @@
             let worker = &self.workers[at];
             let part = (worker.seats.round() / self.dispatchers).max(1.0);
             let doubt = worker.doubt(now, self.distrust, usize::from(txn.scheme));
-            if self.warmth(worker, now) < 1.0 && self.budget(worker, now) < work && !is(Fault::ColdIgnored) {
+            let cold = self.warmth(worker, now) < 1.0;
+            if cold && self.budget(worker, now) < work && !is(Fault::ColdIgnored) {
                 continue;
             }
             let room = hand.room(now, worker.pace).max(1.0);
-            let wait = worker.wait(now, need, mean, (fleet * room, self.others));
+            // Who is sent to by turns and within a budget is not as busy as the rest.
+            let others = if cold { (0.0, 0.0) } else { (fleet * room, self.others) };
+            let wait = worker.wait(now, need, mean, others);
             let strain = wait / room;
             // Taken when there is a seat for it in this dispatcher's part, the worker is not distrusted, and
             // it would start about at once: a twentieth of the room before the SLA time is within error.
@@ -495,10 +529,10 @@
     fn post(&mut self, now: Nanos, key: usize, at: usize, cost: f64, acts: &mut Vec<Action>) {
         let tells_start = self.says("tells_start") > 0.0;
         let chosen = &self.workers[at];
-        let left = if self.warmth(chosen, now) < 1.0 { self.budget(chosen, now) } else { 0.0 };
+        let spent = self.window(chosen.budget_at) == self.window(now);
         let hand = &mut self.txns[key];
         let worker = &mut self.workers[at];
-        (worker.budget, worker.budget_at) = (left - hand.work, now);
+        (worker.budget, worker.budget_at) = (hand.work + if spent { worker.budget } else { 0.0 }, now);
         worker.silent.iter_mut().for_each(|silence| silence.tried = now);
         let expected = worker.queue(hand.need, 0.0, 0.0);
         hand.legs[hand.posted] = Posting { worker: at, at: now, expected, started: None, out: true };
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -161,17 +161,63 @@
     assert!(handle(&mut d, 2_000 * MS, Event::Due { token: BEAT }).is_empty());
 }
 
-#[test_case(0 => 20; "a warm worker takes all")]
-#[test_case(100 => 4; "a cold one what its part of the budget holds")]
-fn budget_of_a_cold_worker(started: Nanos) -> usize {
+/// In the turns that are its own, and half of what the rule allows in the longest two of them.
+#[test_case(0, 1_000 => 20; "a warm worker takes all")]
+#[test_case(100, 1_000 => 10; "a cold one what fits into this one's turn")]
+#[test_case(100, 2_000 => 0; "a cold one nothing in another's")]
+fn budget_of_a_cold_worker(started: Nanos, at: Nanos) -> usize {
     let mut d = dispatcher(0);
     d.schemes[0].sla = 4.5 * SECOND;
     let entries = vec![entry(0, Standing::Ready, started * MS)];
     handle(&mut d, started * MS, Event::List { scope: Scope::Changes, entries });
-    let posts = (0..20).map(|n| handle(&mut d, 1_000 * MS, Event::Arrived(txn(n, 0, 40 * MS, 1_000 * MS))));
+    let posts = (0..20).map(|n| handle(&mut d, at * MS, Event::Arrived(txn(n, 0, 40 * MS, at * MS))));
     posts.flatten().filter(|act| matches!(act, Action::Post { .. })).count()
 }
 
+/// Most of a large fleet is replaced at once. Guards against parts of a cold worker's budget in which no job fits,
+/// against ones that use the old and leave the new alone, and against more than the rule allows from all together.
+#[test_case(100, 60, 36, 0.25; "most of the workers")]
+#[test_case(4, 10, 2, 0.1; "a few of each")]
+fn cold_workers_get_their_work_from_all_together(dispatchers: u32, workers: u8, replaced: u8, least: f64) {
+    let started = 50_000 * MS;
+    let list: Vec<Listed> =
+        (0..workers).map(|n| entry(n, Standing::Ready, if n < replaced { started } else { 0 })).collect();
+    let mut sent: Vec<(u8, Nanos, f64)> = Vec::new();
+    for me in 0..dispatchers {
+        let (mut d, mut dice) = (among(dispatchers, me, warm(workers)), Pcg::new(u64::from(me)));
+        d.figures.insert("probe.allowed", 0.0);
+        let mut hint = || (20.0 + dice.unit() * 140.0) as Nanos * MS;
+        (0..60).for_each(|_| d.schemes[0].add(hint() as f64));
+        handle(&mut d, started, Event::List { scope: Scope::Whole, entries: list.clone() });
+        for n in 100..120 {
+            let (now, hint) = (started + u64::from(n - 100) * 200 * MS + u64::from(me) * MS, hint());
+            for act in handle(&mut d, now, Event::Arrived(txn(n, 0, hint, now))) {
+                let Action::Post { worker, txn } = act else { continue };
+                sent.push((worker.addr[3], now, hint as f64 / SECOND));
+                let (outcome, report) = (Outcome::Settled, Report::default());
+                handle(&mut d, now, Event::Ended(Ended { txn, leg: 0, outcome, complete: true, report }));
+            }
+        }
+    }
+    let work = |n: u8, from: Nanos| {
+        let within = |(m, at, _): &&(u8, Nanos, f64)| *m == n && (from..from + 1_000 * MS).contains(at);
+        sent.iter().filter(within).map(|(_, _, work)| work).sum::<f64>()
+    };
+    let all: f64 = (0..replaced)
+        .flat_map(|n| (0..4).map(move |s| (n, s)))
+        .map(|(n, s)| work(n, started + s * 1_000 * MS))
+        .sum();
+    // What they can do at their coldest: two seats at a fifth of their speed.
+    let most = 2.0 * 0.2 * 4.0 * f64::from(replaced);
+    assert!(all > least * most, "cold workers got {all} s of {most} s of work");
+    for n in 0..replaced {
+        for from in (0..30).map(|part| started + part * 100 * MS) {
+            let warmth = 0.2 + 0.8 * (from - started) as f64 / 10e9;
+            assert!(work(n, from) < 3.0 * 2.0 * warmth, "cold worker {n} pushed over");
+        }
+    }
+}
+
 #[test]
 fn no_worker_declines_only_when_it_can_no_longer_be_in_time() {
     let mut d = dispatcher(0);
@@ -422,7 +468,7 @@
     let (mut standing, mut started) = (vec![Standing::Ready; fleet], vec![0; fleet]);
     let mut timers: Vec<(Nanos, u64)> = Vec::new();
     let mut txns: BTreeMap<TxnId, Record> = BTreeMap::new();
-    let (mut cold, mut full): (Vec<(usize, Nanos, f64)>, f64) = (Vec::new(), 0.0);
+    let (mut cold, mut unit): (Vec<(usize, Nanos, f64)>, f64) = (Vec::new(), 0.0);
     for step in 1..6_000_u32 {
         let now = u64::from(step) * 10 * MS;
         let mut events = Vec::new();
@@ -490,15 +536,15 @@
                         }
                         let work = d.txns[d.held[&txn]].work;
                         // In hinted work a second, by the most that was ever believed: beliefs move meanwhile.
-                        let believed = d.workers.iter().filter(|w| w.standing != Standing::Gone);
-                        full = believed.map(|w| w.seats / w.pace).fold(f64::INFINITY, f64::min).max(full);
+                        unit = unit.max(d.unit);
                         cold.push((n, now, work));
                         let recent = |(m, at, _): &&(usize, Nanos, f64)| {
                             *m == n && *at + 1_000 * MS > now && *at >= started[n]
                         };
                         let sent: f64 = cold.iter().filter(recent).map(|(_, _, work)| work).sum();
                         let warmth = 0.2 + 0.8 * (now - started[n]) as f64 / 10e9;
-                        let part = 3.0 * full * SECOND / f64::from(dispatchers.min(12)) * warmth;
+                        // Two turns of the twelve, or of as many as there are, meet in no window but a lone one's.
+                        let part = 3.0 * unit * 2.0 * SECOND * warmth / 2.0;
                         assert!(started[n] == 0 || warmth > 1.0 || sent < part, "cold pushed over");
                         record.out.push((record.sent, n, now));
                         record.sent += 1;
