Go on from the list known, at moments of one's own; no lanes for workers that refuse

Seen on herd+vast (70 of 100 dispatchers killed during a release of workers, discovery asked by all at once): 957 failed calls for the list, each dispatcher's on its beat, so up to 70 in the same ms; 112 calls given up after 2.0 s, which is when the overbooked service answers the last of its queue; each attempt asked for the whole list and then for a watch. So no restarted dispatcher heard of a new worker until the release was over, and 100 to 147 postings a second of some 170 met workers that were gone, each using up one of three postings. Ruled out: the door, descriptors, processor time, cold budgets (no new worker was known).

Changed: discovery.rs goes on from the version known where the list must be asked for, also at the start, and waits 6 s for an answer; policy's list() arms a timer of its own instead of the beat; keep_to() gives the lane of a worker that refused to another of its stretch for 1 s and twice as long each time. Left: a list service under pushes to its followers fails new calls for 15 s and longer (docs/attempts.md); nothing seen from here helps.

--- a/crates/drive/src/discovery.rs
+++ b/crates/drive/src/discovery.rs
@@ -14,8 +14,11 @@
 /// How long one call of the watch may wait, in ms: a third of what the protocol allows, so that a path that
 /// died silently is found in time.
 const WAIT_MS: u64 = 20_000;
-/// How much longer than it may wait a call is given, and how long a call for the whole list.
+/// How long a connection is given to come up.
 const GRACE: Duration = Duration::from_secs(2);
+/// How much longer than it may wait a call is given, and how long a call for the whole list: three times what services
+/// let calls wait in turn. Guards against giving up, at the last moment, what a service that all ask at once has worked for.
+const ANSWER: Duration = Duration::from_secs(6);
 /// The first pause after a failure, doubled up to the last one.
 const PAUSE: Duration = Duration::from_millis(100);
 const PAUSE_MOST: Duration = Duration::from_millis(1600);
@@ -28,10 +31,11 @@
     address: SocketAddr,
     moves: Receiver<SocketAddr>,
     leave: Option<Receiver<()>>,
+    kept: Option<u64>,
 ) {
     let (shared, leave) = (&*shared, leave.as_ref());
     let (told, _) = async_channel::bounded(1);
-    let mut old = Box::pin(tend(shared, address, leave, true, told));
+    let mut old = Box::pin(tend(shared, address, leave, true, told, kept));
     loop {
         let stays = async {
             old.as_mut().await;
@@ -46,7 +50,7 @@
             if is(Fault::WatchDropped) {
                 let _ = told.try_send(());
             }
-            let mut new = Box::pin(tend(shared, to, leave, false, told));
+            let mut new = Box::pin(tend(shared, to, leave, false, told, None));
             let both = async {
                 futures_lite::future::zip(old.as_mut(), new.as_mut()).await;
                 None
@@ -64,13 +68,14 @@
 }
 
 /// Follows the list at one address for ever; `told` hears of the first one. `waits` is whether leave is needed for the
-/// first attempt too.
+/// first attempt too; `from` is the version of the list that is known from this address.
 async fn tend<G: Ground>(
     shared: &Shared<G>,
     address: SocketAddr,
     leave: Option<&Receiver<()>>,
     mut waits: bool,
     told: Sender<()>,
+    mut from: Option<u64>,
 ) {
     let mut rest = PAUSE;
     loop {
@@ -81,7 +86,10 @@
             return;
         }
         let mut seen = false;
-        let Err(fault) = watch(shared, address, &mut seen, &told).await;
+        let Err(fault) = watch(shared, address, &mut seen, &told, &mut from).await;
+        // Where each call costs the service, the list goes on from the version that is known: one call in place of two,
+        // and the changes in place of the whole. Guards against a service that is kept busy by those it failed.
+        from = from.filter(|_| leave.is_some());
         shared.counters.lists_failed.add();
         log::warn!("discovery: {fault}");
         if leave.is_some() {
@@ -99,8 +107,9 @@
     address: SocketAddr,
     seen: &mut bool,
     told: &Sender<()>,
+    from: &mut Option<u64>,
 ) -> Result<Infallible, String> {
-    let (mut kept, mut from) = (None, None);
+    let mut kept = None;
     loop {
         let mut stream = match kept.take() {
             Some(stream) => stream,
@@ -109,16 +118,19 @@
             }
         };
         let wait = from.map(|seq| (seq, WAIT_MS));
-        let limit = GRACE + Duration::from_millis(if wait.is_some() { WAIT_MS } else { 0 });
+        let limit = ANSWER + Duration::from_millis(if wait.is_some() { WAIT_MS } else { 0 });
         let call = discovery::call(&address.to_string(), wait);
         let answer = within(&shared.ground, limit, exchange(&mut stream, &call)).await;
         let (text, keeps) = answer.map_err(|error| format!("no answer: {error}"))?;
         let listing = discovery::listing(&text, &shared.names).map_err(|fault| {
             // Passed over, and the whole list is fetched by a new watch.
             shared.counters.lists_malformed.add();
+            *from = None;
             format!("malformed list: {fault}")
         })?;
-        (*seen, from) = (true, Some(listing.seq));
+        // A service that has lost its count is asked for the whole.
+        let lost = from.is_some_and(|from| listing.seq < from) && !listing.whole;
+        (*seen, *from) = (true, (!lost).then_some(listing.seq));
         shared.counters.lists.add();
         shared.tell(News::List(listing));
         let _ = told.try_send(());
--- a/crates/drive/src/node.rs
+++ b/crates/drive/src/node.rs
@@ -70,11 +70,12 @@
         let (leave, left) = async_channel::unbounded();
         let hub = Hub::new(dispatcher, counters, connect_within);
         let mut hub = HubDriver::new(shared.clone(), news, hub, asked.then_some(leave));
+        let from = (asked && !kept.hosts.is_empty()).then_some(kept.seq);
         hub.kept(kept);
         let hub = shared.ground.spawn(hub.run());
         let (mover, moves) = async_channel::unbounded();
         let leave = asked.then_some(left);
-        let list = discovery::follow(shared.clone(), given.discovery, moves, leave);
+        let list = discovery::follow(shared.clone(), given.discovery, moves, leave, from);
         let list = shared.ground.spawn(list);
         let (end, ended) = async_channel::bounded(1);
         let accepting = shared.ground.spawn(client::accept(shared.clone(), door, ended));
--- a/crates/rosewalld/tests/daemon.rs
+++ b/crates/rosewalld/tests/daemon.rs
@@ -446,6 +446,26 @@
     assert_eq!(new.count(), 1);
 }
 
+/// Guards against a service that all ask at once for the whole list, and for a watch after it.
+#[test]
+fn a_list_that_is_asked_for_goes_on_from_the_version_known() {
+    let worker = Worker::start(&script(&[]));
+    let (known, new) = (host("a", &worker.dial, "ready"), Worker::start(&script(&[])));
+    let discovery = Discovery::start(vec![known.clone()]);
+    let mut configuration = configuration(&discovery.address, 1024);
+    configuration["settings"]["RegistryMode"] = "on_request".into();
+    configuration["known"] = serde_json::json!({"seq": 1, "whole": true, "hosts": [known]});
+    let daemon = Daemon::start(&configuration);
+    discovery.until_watched();
+    assert_eq!(discovery.calls(), 1);
+    discovery.go_down();
+    daemon.until_counter("lists_failed", 1);
+    discovery.come_back(vec![host("b", &new.dial, "ready")]);
+    discovery.tell(vec![host("a", &worker.dial, "draining")]);
+    assert_eq!(daemon.client().ask("id", "thumb", 5.0).status, 200);
+    assert_eq!((worker.count(), new.count()), (0, 1));
+}
+
 #[test]
 fn a_new_configuration_names_another_discovery_and_one_without_sense_changes_nothing() {
     let stage = stage(&[]);
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -127,7 +127,20 @@
         }
     }
 
+    /// It took no connection: for 1 s, and twice as long each time that it does so again, it has no lane.
+    fn refused(&mut self, now: Nanos) {
+        if !self.refuses(now) {
+            let wait = 1_000_000_000 << self.refusals.min(4);
+            (self.refusals, self.refused_till) = (self.refusals + 1, now + wait);
+        }
+    }
+
+    fn refuses(&self, now: Nanos) -> bool {
+        now < self.refused_till
+    }
+
     fn heard(&mut self, now: Nanos, by: f64) {
+        (self.refusals, self.refused_till) = (0, 0);
         self.trust.add(now, Worker::HALF, -by);
         self.alive = now;
     }
@@ -143,8 +156,9 @@
     }
 }
 
-/// The timer of the beat, each second; all others carry a txn's id and leg.
+/// The timers of the beat, each second, and of the next call for the list; all others carry a txn's id and leg.
 const BEAT: u64 = u64::MAX;
+const ASK: u64 = u64::MAX - 1;
 const BEAT_EVERY: Nanos = 1_000_000_000;
 
 fn token(txn: TxnId, leg: usize) -> u64 {
@@ -175,6 +189,7 @@
                 (hand.txn.expiry, hand.due) = (hand.txn.expiry.min(by), hand.due.min(by));
             }),
             Event::Due { token: BEAT } => self.beat(now, acts),
+            Event::Due { token: ASK } => self.follow(now, acts),
             Event::Due { token } => self.watch(now, token, acts),
         }
     }
@@ -183,6 +198,9 @@
         acts.push(Action::Timer { at: now + BEAT_EVERY, token: BEAT });
         self.gaps.iter_mut().for_each(|gaps| gaps.measure(now));
         self.survey(now);
+        if self.workers.iter().any(|worker| worker.refusals > 0) {
+            self.keep_to(now);
+        }
         for w in &mut self.workers {
             let limit = if w.told { 0.1 } else { 0.5 };
             let doubted = |scheme: &usize| w.doubt(now, self.distrust, *scheme) > limit;
@@ -192,7 +210,6 @@
                 acts.push(Action::Say(format!("worker {}: distrusted with schemes {of:?}", w.id)));
             }
         }
-        self.follow(now, acts);
     }
 
     fn survey(&mut self, now: Nanos) {
@@ -221,11 +238,13 @@
     fn list(&mut self, now: Nanos, scope: Scope, entries: &[Listed], acts: &mut Vec<Action>) {
         match scope {
             Scope::Failed => {
-                // Twice as long after each failure up to 4 s, spread so that dispatchers do not call as one.
+                // Twice as long after each failure up to 4 s, spread so that dispatchers do not call as one, and by a
+                // timer of its own. Guards against calls on the beat, which all who started together share.
                 let wait = 0.5 * SECOND * f64::from(1 << self.ask_failures.min(3));
                 self.ask_failures += 1;
                 self.following = false;
                 self.ask_at = now + (wait * (0.5 + self.chance.unit())) as Nanos;
+                acts.push(Action::Timer { at: self.ask_at, token: ASK });
                 return;
             }
             Scope::Kept => acts.push(Action::Timer { at: now + BEAT_EVERY, token: BEAT }), // the first event
@@ -244,6 +263,7 @@
             if entry.started != worker.started {
                 // A new process: what was held against the old one is void, and it starts cold.
                 (worker.trust, worker.silent, worker.lag, worker.budget) = Default::default();
+                (worker.refusals, worker.refused_till) = (0, 0);
                 worker.of.fill(Trust::default());
                 (worker.started, worker.budget_at) = (entry.started, now);
             }
@@ -260,23 +280,39 @@
         let mut order: Vec<usize> = (0..self.workers.len()).collect();
         order.retain(|at| self.workers[*at].standing == Standing::Ready);
         order.sort_unstable_by_key(|at| self.workers[*at].id);
-        let (me, workers) = (self.says("me") as usize, &self.workers);
-        self.sharers = 1.0;
         for scheme in &mut self.schemes {
-            let fits = |w: &usize| scheme.kind < 0 || i64::from(workers[*w].kind) == scheme.kind;
+            let fits = |w: &usize| scheme.kind < 0 || i64::from(self.workers[*w].kind) == scheme.kind;
             scheme.all = order.iter().copied().filter(fits).collect();
-            let n = scheme.all.len();
+        }
+        self.keep_to(now);
+        self.survey(now);
+        self.follow(now, acts);
+    }
+
+    /// Which workers each scheme's lanes are: one of each stretch of ids, by turns over the dispatchers.
+    fn keep_to(&mut self, now: Nanos) {
+        self.sharers = 1.0;
+        for at in 0..self.schemes.len() {
+            let (me, all) = (self.says("me") as usize, &self.schemes[at].all);
+            let n = all.len();
             let m = ((SHARERS * n as f64 / self.dispatchers).ceil() as usize).min(n);
-            // One of each stretch of ids: one in use if there is, else by turns over the dispatchers.
             let pick = |lane: usize| {
-                let among = &scheme.all[lane * n / m..(lane + 1) * n / m];
-                among[(me + lane * (me / among.len())) % among.len()]
+                let among = &all[lane * n / m..(lane + 1) * n / m];
+                let (len, block) = (among.len(), me / among.len());
+                let turn = (me + lane * block) % len;
+                // In place of one that takes no connection another of its stretch, each block of dispatchers its own, but
+                // none that is cold: its turns count on who keeps to it. Guards against lanes that lead nowhere for as
+                // long as no one tells that their workers are gone.
+                let other = |step: usize| (turn + 1 + (block + step) % (len - 1)) % len;
+                let others = (0..len - 1).map(|step| among[other(step)]);
+                let warm = others.filter(|at| self.warmth(&self.workers[*at], now) >= 1.0);
+                let mut all = std::iter::once(among[turn]).chain(warm);
+                all.find(|at| !self.workers[*at].refuses(now)).unwrap_or(among[turn])
             };
-            scheme.lanes = (0..m).map(pick).collect();
+            let lanes = (0..m).map(pick).collect();
+            self.schemes[at].lanes = lanes;
             self.sharers = f64::max(self.sharers, self.dispatchers * m as f64 / (n as f64).max(1.0));
         }
-        self.survey(now);
-        self.follow(now, acts);
     }
 
     /// The part of its full capacity that a worker surely has: the settings' slowest way up.
@@ -297,16 +333,14 @@
     /// stands: none where it is not its turn. All clocks are one, and numbers next to each other take different workers
     /// of a stretch. Guards against parts of a budget so small that no job fits in one.
     fn turn(&self, worker: &Worker, now: Nanos) -> (f64, f64) {
-        let capacity = self.unit * worker.size * self.warmth(worker, now);
-        // Any window meets two turns, which may hold four fifths of what is allowed: the rest is for work beyond its
-        // hint. A quarter a turn left cold workers idle while the warm ones jammed: few turns are used to their end.
-        let most = 0.4 * self.says("fall.multiple") * capacity * self.says("fall.window");
+        let (warmth, window) = (self.warmth(worker, now), self.says("fall.window"));
+        // Any window meets two turns, which may hold three fifths of what is allowed: a third may come from those who
+        // have not heard of its start, the rest is for work beyond its hint.
+        let most = 0.3 * self.says("fall.multiple") * self.unit * worker.size * warmth * window;
         let turns = SHARERS.min(self.dispatchers);
-        // Several have a turn at once where two usual jobs fit in the part of each: more of them have one to send.
-        let (work, seen) = self.schemes.iter().fold((1e8, 1.0), |(work, seen), scheme| {
-            (work + scheme.bins.iter().sum::<f64>(), seen + scheme.seen)
-        });
-        let at_once = (most * seen / work / 2.0).floor().clamp(1.0, turns);
+        // As it warms more have a turn at once, as one has few txns in a window; the part of each stays what it is at
+        // the start. All count alike, by what the list and the settings tell.
+        let at_once = (warmth / self.says("cold.from").max(0.01)).floor().clamp(1.0, turns);
         let place = (self.says("me") * turns / self.dispatchers) as u64;
         let [a, b, c, d] = worker.id.addr.map(u64::from);
         let turn = place + a + b + c + d + u64::from(worker.id.port) + self.window(now);
@@ -317,8 +351,12 @@
     /// What this dispatcher may still send to a cold worker now.
     fn budget(&self, worker: &Worker, now: Nanos) -> f64 {
         let (most, part) = self.turn(worker, now);
-        let spent = self.window(worker.budget_at) == self.window(now);
-        if part > 0.0 { most - if spent { worker.budget } else { 0.0 } } else { 0.0 }
+        if part > 0.0 { most - self.spent(worker, now) } else { 0.0 }
+    }
+
+    /// What this dispatcher has sent a cold worker in the window that is now.
+    fn spent(&self, worker: &Worker, now: Nanos) -> f64 {
+        if self.window(worker.budget_at) == self.window(now) { worker.budget } else { 0.0 }
     }
 
     /// Draws a scheme's lanes anew.
@@ -530,10 +568,10 @@
     fn post(&mut self, now: Nanos, key: usize, at: usize, cost: f64, acts: &mut Vec<Action>) {
         let tells_start = self.says("tells_start") > 0.0;
         let chosen = &self.workers[at];
-        let spent = self.window(chosen.budget_at) == self.window(now);
+        let spent = self.spent(chosen, now);
         let hand = &mut self.txns[key];
         let worker = &mut self.workers[at];
-        (worker.budget, worker.budget_at) = (hand.work + if spent { worker.budget } else { 0.0 }, now);
+        (worker.budget, worker.budget_at) = (spent + hand.work, now);
         worker.silent.iter_mut().for_each(|silence| silence.tried = now);
         let expected = worker.queue(hand.need, 0.0, 0.0);
         hand.legs[hand.posted] = Posting { worker: at, at: now, expected, started: None, out: true };
@@ -609,6 +647,9 @@
         let InHand { run, due, txn: Txn { scheme, .. }, .. } = self.txns[key];
         let scheme = usize::from(scheme);
         let worker = &mut self.workers[posting.worker];
+        if outcome == Outcome::NoConnection {
+            worker.refused(now);
+        }
         if sorted(outcome) == Input::NotRun {
             // Its wait is this txn's whole room. Guards against a worker that is full, dead or drains
             // unannounced: answering at once, it would look idle and draw all that waits.
@@ -633,6 +674,9 @@
             Outcome::NoConnection | Outcome::Broken => worker.blame(now, &posting, scheme, 0.6),
             Outcome::Full | Outcome::Unfit | Outcome::Withdrawn | Outcome::Moot => {}
         }
+        if outcome == Outcome::NoConnection {
+            self.keep_to(now);
+        }
         let input = if complete { Input::Settled } else { sorted(outcome) };
         let hand = &mut self.txns[key];
         if input == Input::MayHaveRun {
--- a/src/state.rs
+++ b/src/state.rs
@@ -180,7 +180,10 @@
     /// Slots that others hold by its last report.
     pub others: f64,
     pub others_at: Nanos,
-    /// This dispatcher's part of what may still be sent while it is cold.
+    /// How often in a row it took no connection, and until when it is not asked again.
+    pub refusals: u32,
+    pub refused_till: Nanos,
+    /// What this dispatcher sent it in the window of `budget_at`.
     pub budget: f64,
     pub budget_at: Nanos,
     /// Of this dispatcher's postings out: the seats they take, the slots running, the time they still need.
