--- a/src/policy.rs
+++ b/src/policy.rs
@@ -216,14 +216,15 @@
         let ready = || self.workers.iter().filter(|worker| worker.standing == Standing::Ready);
         self.distrust =
             ready().map(|w| w.trust.now(now, Worker::HALF)).sum::<f64>() / ready().count().max(1) as f64;
-        // Full capacity by what is known of the fleet: seats at their pace for their size, the median of the warm where
+        // Full capacity by what is known of the fleet: seats at their pace for their size, the least fourth of the warm where
         // there are some. Guards against what is sure of a worker falling with their number, as of many one is always
         // slow, and against a mean in which a few large ones stand for a small one.
         let some = ready().any(|w| self.warmth(w, now) >= 1.0);
         let full = ready().filter(|w| !some || self.warmth(w, now) >= 1.0);
-        let mut units: Vec<f64> = full.map(|w| w.seats / w.pace / w.size).collect();
+        // And none is taken to be faster than hints say, as the cold one may be the slow one.
+        let mut units: Vec<f64> = full.map(|w| w.seats / w.pace.max(1.0) / w.size).collect();
         units.sort_unstable_by(f64::total_cmp);
-        self.unit = units.get(units.len() / 2).copied().unwrap_or(0.0);
+        self.unit = units.get(units.len().saturating_sub(1) / 4).copied().unwrap_or(0.0);
     }
 
     fn says(&self, name: &str) -> f64 {
