--- a/crates/world/src/scenario.rs
+++ b/crates/world/src/scenario.rs
@@ -4,7 +4,7 @@
 use std::ops::Range;
 
 /// The most that is taken; beyond it a world is no longer played in minutes.
-const MOST_DISPATCHERS: usize = 64;
+const MOST_DISPATCHERS: usize = 256;
 const MOST_WORKERS: usize = 256;
 const MOST_MS: u64 = 30 * 60_000;
 
@@ -369,7 +369,7 @@
     let no =
         |holds: bool, list, at, fault: &str| if holds { Ok(()) } else { Err((list, at, fault.to_string())) };
     let Scenario { dispatchers, length_ms, scheme, worker, .. } = scenario;
-    no((1..=MOST_DISPATCHERS).contains(dispatchers), "dispatchers", 0, "1 to 64 dispatchers are played")?;
+    no((1..=MOST_DISPATCHERS).contains(dispatchers), "dispatchers", 0, "1 to 256 dispatchers are played")?;
     no((1..=MOST_MS).contains(length_ms), "length_ms", 0, "a world lasts from 1 ms to 30 min")?;
     no(!scheme.is_empty(), "scheme", 0, "there is no scheme")?;
     no((1..=MOST_WORKERS).contains(&worker.len()), "worker", 0, "1 to 256 workers are played")?;
--- a/crates/world/tests/worlds.rs
+++ b/crates/world/tests/worlds.rs
@@ -53,6 +53,25 @@
     }
 }
 
+/// A quarter of a large fleet, with its troubles to scale; the whole ones (`vast-*.toml`) are for the command. Guards
+/// against what each dispatcher does that is fine alone and hurts when all do it. `most` is the share that may be declined or
+/// reversed: with budgets of cold workers in parts in which no job fits it was 6.3% where most workers are replaced, and is 2.7%.
+#[test_case(include_str!("../scenarios/small-join.toml"), 0.045; "most workers are replaced")]
+#[test_case(include_str!("../scenarios/small-zone.toml"), 0.02; "a zone is lost and comes back cold")]
+#[test_case(include_str!("../scenarios/small-herd.toml"), 0.02; "most dispatchers are killed in a release")]
+fn a_large_fleet_goes_on_serving(text: &str, most: f64) {
+    let planned = read(text).unwrap();
+    let (mut txns, mut missed) = (0, 0);
+    for seed in 0..8 {
+        let report = play(&scenario(seed, Some(&planned)), false);
+        assert_eq!(report.violations, Vec::new(), "seed {seed}");
+        txns += report.tally.txns;
+        missed += report.tally.declined + report.tally.reversed;
+    }
+    let share = missed as f64 / txns as f64;
+    assert!(txns > 5_000 && share < most, "{missed} of {txns} txns were not settled");
+}
+
 #[test]
 fn a_scenario_is_read_as_it_was_written() {
     for seed in 0..50 {
@@ -66,7 +85,7 @@
 #[test_case("kind = \"drain\"", "kind = \"drian\"", "line 40"; "a kind that there is not")]
 #[test_case("length_ms", "lenght_ms", "line 4"; "a name that there is not")]
 #[test_case("target = 0", "target = 9", "line 38: there is no such worker"; "a worker that there is not")]
-#[test_case("dispatchers = 2", "dispatchers = 0", "line 5: 1 to 64 dispatchers"; "no dispatcher")]
+#[test_case("dispatchers = 2", "dispatchers = 0", "line 5: 1 to 256 dispatchers"; "no dispatcher")]
 #[test_case("work_ms = [10.0, 30.0]", "work_ms = [30.0, 10.0]", "line 32: work"; "work that ends before it begins")]
 fn what_cannot_be_played_is_told_with_its_line(from: &str, to: &str, fault: &str) {
     let told = read(&SOUND.replacen(from, to, 1)).unwrap_err();
