Odd lists and workers at a hundred dispatchers, as a world in the tests

Need: what lists and workers may do wrong must break no rule at large size. vast-odd (100 x 60) and its quarter: lists that lack 70% of the workers, go back, make no sense or fall silent, workers that flap, swallow or turn all away.

--- a/crates/world/tests/worlds.rs
+++ b/crates/world/tests/worlds.rs
@@ -59,6 +59,7 @@
 #[test_case(include_str!("../scenarios/small-join.toml"), 0.045; "most workers are replaced")]
 #[test_case(include_str!("../scenarios/small-zone.toml"), 0.02; "a zone is lost and comes back cold")]
 #[test_case(include_str!("../scenarios/small-herd.toml"), 0.02; "most dispatchers are killed in a release")]
+#[test_case(include_str!("../scenarios/small-odd.toml"), 0.1; "odd lists, and workers that flap, swallow or are full")]
 fn a_large_fleet_goes_on_serving(text: &str, most: f64) {
     let planned = read(text).unwrap();
     let (mut txns, mut missed) = (0, 0);
@@ -72,6 +73,15 @@
     assert!(txns > 5_000 && share < most, "{missed} of {txns} txns were not settled");
 }
 
+/// At full size: what lists and workers may do wrong breaks no rule at a hundred dispatchers.
+#[test]
+fn odd_lists_and_workers_break_no_rule_at_a_hundred_dispatchers() {
+    let planned = read(include_str!("../scenarios/vast-odd.toml")).unwrap();
+    let report = play(&scenario(1, Some(&planned)), false);
+    assert_eq!(report.violations, Vec::new());
+    assert!(report.tally.settled > 6_000, "{:?}", report.tally);
+}
+
 #[test]
 fn a_scenario_is_read_as_it_was_written() {
     for seed in 0..50 {
