Give up a posting that cannot be written in the time that a connection has

To blame: sent() bounded the connection, not the writing. Now both have the connection's time; what was not written whole is proven not run.

--- a/crates/drive/src/worker.rs
+++ b/crates/drive/src/worker.rs
@@ -96,9 +96,15 @@
     message: &[u8],
     off: &Cell<bool>,
 ) -> Result<(Conn<G::Stream>, Option<Nanos>), Outcome> {
+    // A connection that takes no bytes is given up as one that does not come up. Guards against a vanished machine that is
+    // back seconds later, and is then sent over a new connection what the list has forbidden since.
+    let ground = &shared.ground;
     if let Some((mut conn, since)) = ready {
-        if written(&shared.ground, &mut conn, message, off).await {
-            return Ok((conn, Some(since)));
+        let writing = async { Ok(written(ground, &mut conn, message, off).await) };
+        match within(ground, limit, writing).await {
+            Ok(true) => return Ok((conn, Some(since))),
+            Ok(false) => {}
+            Err(_) => return Err(if off.get() { Outcome::Moot } else { Outcome::NoConnection }),
         }
         if off.get() {
             return Err(Outcome::Moot);
@@ -108,7 +114,8 @@
     }
     let mut conn = connection(shared, None, dial, limit).await?;
     // Not a byte goes out for a client who has left while it came up.
-    if !off.get() && written(&shared.ground, &mut conn, message, off).await {
+    let writing = async { Ok(!off.get() && written(ground, &mut conn, message, off).await) };
+    if within(ground, limit, writing).await.unwrap_or(false) {
         return Ok((conn, None));
     }
     Err(if off.get() { Outcome::Moot } else { Outcome::NoConnection })
--- a/crates/world/tests/worlds.rs
+++ b/crates/world/tests/worlds.rs
@@ -73,11 +73,12 @@
     assert!(txns > 5_000 && share < most, "{missed} of {txns} txns were not settled");
 }
 
-/// At full size: what lists and workers may do wrong breaks no rule at a hundred dispatchers.
-#[test]
-fn odd_lists_and_workers_break_no_rule_at_a_hundred_dispatchers() {
-    let planned = read(include_str!("../scenarios/vast-odd.toml")).unwrap();
-    let report = play(&scenario(1, Some(&planned)), false);
+/// At full size: what lists and workers may do wrong breaks no rule at a hundred dispatchers. Under seed 3 a vanished
+/// machine came back as a posting still waited to be written there, and was sent it anew long after the list had it gone.
+#[test_case(include_str!("../scenarios/vast-odd.toml"), 1; "odd lists, and workers that flap, swallow or are full")]
+#[test_case(include_str!("../scenarios/vast-zone.toml"), 3; "found: sent anew to a machine that was back")]
+fn a_hundred_dispatchers_break_no_rule(text: &str, seed: u64) {
+    let report = play(&scenario(seed, Some(&read(text).unwrap())), false);
     assert_eq!(report.violations, Vec::new());
     assert!(report.tally.settled > 6_000, "{:?}", report.tally);
 }
