Dispatchers tell each other what they have out at a worker, where messages are allowed

Ruled out: errors (1), declines, failing connections; lanes too narrow (work spread 51 to 110 over 8 workers as their pace says). Change: Action::Tell and Event::Shared, nine bytes with each posting and end and once a second; counted in the queue and in place of the equal part of the seats. Should also hold against any crowd that comes through another dispatcher (bursts, a roll, uneven zones). Hurts when messages are late or lost: what is 2.5 s old is dropped. Off on the platform, which allows no talk.

--- a/crates/node/src/hub.rs
+++ b/crates/node/src/hub.rs
@@ -417,6 +417,8 @@
             Action::Decline { txn, come_back } => self.refuse(now, txn, Answer::Declined { come_back }, out),
             Action::Reverse { txn } => self.refuse(now, txn, Answer::Reversed, out),
             Action::Follow => out.push(Effect::Follow),
+            // The platform gives no talk between dispatchers, and its settings say so.
+            Action::Tell(_) => {}
             Action::Timer { at, token } => self.arm(at, Due::Decisions(token)),
             Action::Say(text) => log::info!("{text}"),
         }
--- a/crates/wirehost/src/tests.rs
+++ b/crates/wirehost/src/tests.rs
@@ -68,3 +68,12 @@
 fn reading(mut bytes: &[u8]) -> Result<bool, Fault> {
     codec::read_batch(&mut bytes, &mut Vec::new())
 }
+
+/// A message from another version, or a spoilt one, must not end the adapter.
+#[test_case(&[3, 0, 9, 0, 10, 0, 0, 1, 9, 0, 4, 8, 0] => true; "ours")]
+#[test_case(&[3, 0, 4, 0, 1, 2, 3, 4] => false; "of another length")]
+fn messages(bytes: &[u8]) -> bool {
+    let incoming = translate::incoming(9, codec::Fields::new(bytes)).ok().unwrap();
+    matches!(incoming, translate::Incoming::For(rosewall::types::Event::Shared { from: 3, share })
+        if share.halves == 4 && share.work == 8)
+}
--- a/crates/wirehost/src/translate.rs
+++ b/crates/wirehost/src/translate.rs
@@ -1,7 +1,7 @@
 //! The wire's words to ours and back. No name of the wire is known outside this file, but the settings'.
 use crate::codec::{Fault, Fields, Reply};
 use rosewall::types::{
-    Action, Ended, Event, Listed, Outcome, Probed, Report, Scope, Standing, Txn, WorkerId,
+    Action, Ended, Event, Listed, Outcome, Probed, Report, Scope, Share, Standing, Txn, WorkerId,
 };
 use rosewall_settings::{Map, ours};
 
@@ -32,6 +32,10 @@
         6 => Event::Lapsed { txn: f.u32()? },
         7 => Event::Due { token: f.u64()? },
         8 => probed(&mut f)?,
+        9 => match shared(&mut f)? {
+            Some(event) => event,
+            None => return Ok(Incoming::Unknown),
+        },
         11 => match note(&mut f)? {
             Some(event) => event,
             None => return Ok(Incoming::Unknown),
@@ -130,6 +134,19 @@
     Ok(Event::Probed(Probed { worker, outcome, report: report(f)? }))
 }
 
+/// What dispatchers tell each other: a worker, and half seats and work out at it.
+const SHARE: usize = 9;
+
+/// Anything of another length is not ours: from another version, it is passed over.
+fn shared(f: &mut Fields<'_>) -> Result<Option<Event>, Fault> {
+    let (from, length) = (f.u16()?, f.u16()?);
+    if usize::from(length) != SHARE {
+        return Ok(None);
+    }
+    let share = Share { worker: worker(f)?, halves: f.u8()?, work: f.u16()? };
+    Ok(Some(Event::Shared { from, share }))
+}
+
 /// News of a posting; that it has started is all that is used.
 fn note(f: &mut Fields<'_>) -> Result<Option<Event>, Fault> {
     let (txn, _worker, leg, _share) = (f.u32()?, f.address()?, f.u8()?, f.f32()?);
@@ -153,6 +170,11 @@
         }
         Action::Reverse { txn } => reply.record(73, &[&txn.to_le_bytes()]),
         Action::Follow => reply.record(66, &[&[1]]),
+        Action::Tell(Share { worker, halves, work }) => {
+            let (all, length) = (u16::MAX.to_le_bytes(), (SHARE as u16).to_le_bytes());
+            let port = worker.port.to_le_bytes();
+            reply.record(71, &[&all, &length, &worker.addr, &port, &[*halves], &work.to_le_bytes()]);
+        }
         Action::Timer { at, token } => reply.record(74, &[&at.to_le_bytes(), &token.to_le_bytes()]),
         Action::Say(text) => {
             let bytes = &text.as_bytes()[..text.len().min(usize::from(u16::MAX))];
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -13,7 +13,7 @@
 use crate::state::{BINS, Bins, SECOND, below, fade};
 use crate::state::{Effect, InHand, Input, Map, Posting, Silence, Stage, Step};
 use crate::state::{Trust, Worker};
-use crate::types::{Action, Ended, Event, Listed, Nanos, Outcome, Probed, Report, Scope, Standing};
+use crate::types::{Action, Ended, Event, Listed, Nanos, Outcome, Probed, Report, Scope, Share, Standing};
 use crate::types::{Txn, TxnId};
 
 #[cfg(test)]
@@ -152,7 +152,8 @@
         // What is not seen anew drifts to what the whole fleet shows. Guards against a fleet jammed by
         // many dispatchers, in which each sees too little of one worker to notice its queue.
         let lag = fleet.0 + fade(self.lag - fleet.0, self.lag_at, now, SECOND);
-        self.queue(need, others, mean) + lag
+        let (seats, work) = self.told(now);
+        self.queue(need, (others + seats, others * mean + work)) + lag
     }
 }
 
@@ -173,6 +174,11 @@
         let count = values.len();
         let median = if count == 0 { 0.0 } else { (values[(count - 1) / 2] + values[count / 2]) / 2.0 };
         new.schemes.iter_mut().for_each(|scheme| scheme.high = scheme.value > median);
+        // Each hears from all, so that what is told grows as the square: up to as many as share a worker.
+        new.shares &= new.dispatchers > 1.0 && new.dispatchers <= SHARERS;
+        if new.shares {
+            new.unseen = 0.0;
+        }
         Ok(new)
     }
 
@@ -184,6 +190,11 @@
             Event::StreamBegun { txn } | Event::Lapsed { txn } => self.input(now, txn, Input::Left, acts),
             Event::Ended(end) => self.ended(now, end, acts),
             Event::Probed(probed) => self.probed(now, probed, acts),
+            Event::Shared { from, share } => {
+                if let Some(&at) = self.known.get(&share.worker) {
+                    self.workers[at].hear(now, from, share);
+                }
+            }
             // This dispatcher ends: all in hand is answered by then, as at its expiry.
             Event::Closing { by } => self.txns.iter_mut().for_each(|(_, hand)| {
                 (hand.txn.expiry, hand.due) = (hand.txn.expiry.min(by), hand.due.min(by));
@@ -201,17 +212,36 @@
         if self.workers.iter().any(|worker| worker.refusals > 0) {
             self.keep_to(now);
         }
+        for at in 0..if self.shares { self.workers.len() } else { 0 } {
+            if self.workers[at].out > 0.0 {
+                self.tell(now, at, acts);
+            }
+        }
         for w in &mut self.workers {
-            let limit = if w.told { 0.1 } else { 0.5 };
+            let limit = if w.logged { 0.1 } else { 0.5 };
             let doubted = |scheme: &usize| w.doubt(now, self.distrust, *scheme) > limit;
             let of: Vec<usize> = (0..w.of.len()).filter(doubted).collect();
-            if w.told == of.is_empty() {
-                w.told = !w.told;
+            if w.logged == of.is_empty() {
+                w.logged = !w.logged;
                 acts.push(Action::Say(format!("worker {}: distrusted with schemes {of:?}", w.id)));
             }
         }
     }
 
+    /// Tells the others what this dispatcher has out at a worker, whenever that changes and each second. Guards against
+    /// what a partial view costs few dispatchers with large jobs: each takes for free what another has just filled.
+    fn tell(&mut self, now: Nanos, at: usize, acts: &mut Vec<Action>) {
+        if self.shares {
+            self.tally(now);
+            let Worker { id, out, ahead, .. } = self.workers[at];
+            acts.push(Action::Tell(Share {
+                worker: id,
+                halves: (2.0 * out).ceil() as u8,
+                work: (ahead / 16e6) as u16,
+            }));
+        }
+    }
+
     fn survey(&mut self, now: Nanos) {
         let ready = || self.workers.iter().filter(|worker| worker.standing == Standing::Ready);
         self.distrust =
@@ -472,7 +502,11 @@
                 }
             }
             let worker = &self.workers[at];
-            let part = (worker.seats.round() / self.dispatchers).max(1.0);
+            let part = if self.shares {
+                worker.seats.round() - worker.told(now).0
+            } else {
+                (worker.seats.round() / self.dispatchers).max(1.0)
+            };
             let doubt = worker.doubt(now, self.distrust, usize::from(txn.scheme));
             let cold = self.warmth(worker, now) < 1.0;
             if cold && self.budget(worker, now) < work && !is(Fault::ColdIgnored) {
@@ -574,7 +608,7 @@
             worker.spent.push_back((now, hand.work));
         }
         worker.silent.iter_mut().for_each(|silence| silence.tried = now);
-        let expected = worker.queue(hand.need, 0.0, 0.0);
+        let expected = worker.queue(hand.need, worker.told(now));
         hand.legs[hand.posted] = Posting { worker: at, at: now, expected, started: None, out: true };
         let token = token(hand.txn.id, hand.posted);
         hand.posted += 1;
@@ -585,8 +619,9 @@
         // Guards against taking for hung, among many dispatchers, what is only busy with others' work.
         let ahead = self.unseen * (1.0 - fade(1.0, worker.alive, now, SECOND));
         let run = if tells_start { ahead } else { 2.0 } * hand.run * worker.pace;
-        let at = now + (cost.min(2.0 * SECOND) * 1.5 + run + 0.3 * SECOND) as Nanos;
-        acts.push(Action::Timer { at, token });
+        let overdue = now + (cost.min(2.0 * SECOND) * 1.5 + run + 0.3 * SECOND) as Nanos;
+        acts.push(Action::Timer { at: overdue, token });
+        self.tell(now, at, acts);
     }
 
     fn started(&mut self, now: Nanos, txn: TxnId, leg: u8, acts: &mut Vec<Action>) {
@@ -644,6 +679,7 @@
         let Ended { txn, leg, outcome, complete, report } = end;
         let Some((key, posting)) = self.posting(txn, leg) else { return };
         self.txns[key].legs[usize::from(leg)].out = false;
+        self.tell(now, posting.worker, acts);
         self.read_report(now, posting.worker, report);
         let InHand { run, due, txn: Txn { scheme, .. }, .. } = self.txns[key];
         let scheme = usize::from(scheme);
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -642,3 +642,55 @@
     };
     handle(&mut d, 50 * MS, event).iter().map(word).collect()
 }
+
+/// One of so many dispatchers that may tell each other what they have out.
+fn sharing(dispatchers: u32) -> Dispatcher {
+    let mut map = settings();
+    map.insert("dispatchers".into(), dispatchers.to_string());
+    map.insert("share.allowed".into(), "true".into());
+    map.insert("probe.allowed".into(), "false".into());
+    let mut d = Dispatcher::start(0, 7, &map).unwrap();
+    d.handle(0, Event::List { scope: Scope::Kept, entries: warm(2) }, &mut Vec::new());
+    d
+}
+
+/// Guards against a partial view: a worker that another has just filled is not free.
+#[test_case(None, 1000 => true; "nothing told")]
+#[test_case(Some((8, 500)), 1000 => false; "its seats are full of another's jobs")]
+#[test_case(Some((0, 0)), 1000 => true; "they have ended")]
+#[test_case(Some((8, 500)), 4000 => true; "told too long ago: who told it may be dead")]
+fn a_worker_is_free_by_what_others_told(told: Option<(u8, u16)>, at: Nanos) -> bool {
+    let mut d = sharing(3);
+    let post = |d: &mut Dispatcher, id, now| {
+        let acts = handle(d, now, Event::Arrived(txn(id, 2, 100 * MS, now)));
+        acts.into_iter()
+            .find_map(|act| if let Action::Post { worker, .. } = act { Some(worker) } else { None })
+    };
+    let mine = post(&mut d, 1, 900 * MS).unwrap();
+    handle(&mut d, 910 * MS, settled(1));
+    if let Some((halves, work)) = told {
+        // What is told twice by one counts once; of a worker that is not known, not at all.
+        for worker in [mine, mine, id(99)] {
+            let share = Share { worker, halves, work };
+            handle(&mut d, 950 * MS, Event::Shared { from: 1, share });
+        }
+    }
+    post(&mut d, 2, at * MS) == Some(mine)
+}
+
+fn settled(txn: TxnId) -> Event {
+    let (outcome, report) = (Outcome::Settled, Report::default());
+    Event::Ended(Ended { txn, leg: 0, outcome, complete: true, report })
+}
+
+#[test_case(3 => vec![2, 0]; "few: with the posting and with its end")]
+#[test_case(40 => Vec::<u8>::new(); "each hears from all: too many for that")]
+#[test_case(1 => Vec::<u8>::new(); "no one to tell")]
+fn what_is_out_is_told(dispatchers: u32) -> Vec<u8> {
+    let mut d = sharing(dispatchers);
+    let mut acts = handle(&mut d, MS, Event::Arrived(txn(1, 2, 100 * MS, 0)));
+    acts.extend(handle(&mut d, 100 * MS, settled(1)));
+    let tells =
+        acts.iter().filter_map(|act| if let Action::Tell(share) = act { Some(share.halves) } else { None });
+    tells.collect()
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,6 @@
 //! What the decisions remember, as plain data. None of it crosses the interface and nothing is decided here.
 use crate::pcg::Pcg;
-use crate::types::{Nanos, Standing, Txn, TxnId, WorkerId};
+use crate::types::{Nanos, Share, Standing, Txn, TxnId, WorkerId};
 use rustc_hash::FxHashMap;
 use slab::Slab;
 use std::collections::{BTreeMap, VecDeque};
@@ -143,6 +143,15 @@
     }
 }
 
+/// What another dispatcher told that it has out at a worker, and when it did.
+#[derive(Clone, Copy, Debug)]
+pub struct Told {
+    pub from: u16,
+    pub seats: f64,
+    pub work: f64,
+    pub at: Nanos,
+}
+
 /// The posting and its scheme, when it was noticed, and when a job last went to try the worker.
 #[derive(Clone, Copy, Debug)]
 pub struct Silence {
@@ -180,6 +189,8 @@
     /// Slots that others hold by its last report.
     pub others: f64,
     pub others_at: Nanos,
+    /// What other dispatchers told of it, one line each.
+    pub theirs: Vec<Told>,
     /// How often in a row it took no connection, and until when it is not asked again.
     pub refusals: u32,
     pub refused_till: Nanos,
@@ -190,7 +201,7 @@
     pub running: f64,
     pub ahead: f64,
     /// Whether the log was told of its distrust.
-    pub told: bool,
+    pub logged: bool,
 }
 
 impl Worker {
@@ -206,12 +217,33 @@
         posting.started.is_none() && self.reached > posting.at + 20_000_000
     }
 
-    /// The wait until a seat is free, by this dispatcher's postings and so many jobs of others: what is
+    /// The wait until a seat is free, by this dispatcher's postings and others' seats and work: what is
     /// in the worker ends one by one, as fast as its seats work together.
-    pub fn queue(&self, need: f64, others: f64, mean: f64) -> f64 {
+    pub fn queue(&self, need: f64, (others, work): (f64, f64)) -> f64 {
         let count = self.out + others;
         let enders = (count + need.min(self.seats) - self.seats).max(0.0);
-        if enders > 0.0 { enders * (self.ahead + others * mean) / count / self.seats } else { 0.0 }
+        if enders > 0.0 { enders * (self.ahead + work) / count / self.seats } else { 0.0 }
+    }
+
+    /// Keeps what another dispatcher told; only the newest of each counts.
+    pub fn hear(&mut self, now: Nanos, from: u16, share: Share) {
+        let told =
+            Told { from, seats: f64::from(share.halves) / 2.0, work: f64::from(share.work) * 16e6, at: now };
+        match self.theirs.iter_mut().find(|told| told.from == from) {
+            Some(known) => *known = told,
+            None => self.theirs.push(told),
+        }
+    }
+
+    /// Seats and work that others have told of. What is not told again counts no more after 2.5 s: all tell each
+    /// second, so that two in a row were lost or who told them has died.
+    pub fn told(&self, now: Nanos) -> (f64, f64) {
+        let fresh = self.theirs.iter().filter(|told| told.seats > 0.0 && now < told.at + 2_500_000_000);
+        fresh.fold((0.0, 0.0), |(seats, work), told| {
+            let done = now.saturating_sub(told.at) as f64 * told.seats.min(self.seats);
+            // A job past its time has, as such sizes go, a part of it still to run.
+            (seats + told.seats, work + (told.work - done).max(0.1 * told.work))
+        })
     }
 }
 
@@ -363,6 +395,8 @@
     /// The settings that are numbers, or yes (1) and no (0).
     pub(crate) figures: BTreeMap<&'static str, f64>,
     pub(crate) list_asked: bool,
+    /// Whether dispatchers tell each other what they have out.
+    pub(crate) shares: bool,
     /// Whether workers start jobs in the order of their coming.
     pub(crate) first_come: bool,
     pub(crate) following: bool,
@@ -416,6 +450,7 @@
             report_at: ["free-slots", "inflight"].map(|name| fields.split(',').position(|f| f == name)),
             figures,
             list_asked: pick::<String>(map, "list.mode")? == "asked",
+            shares: pick_or(map, "share.allowed", false)?,
             first_come: pick_or::<String>(map, "queue.order", "fifo".to_string())? == "fifo",
             lag_at: now,
             rare: 1.0,
--- a/src/types.rs
+++ b/src/types.rs
@@ -89,6 +89,16 @@
     pub report: Report,
 }
 
+/// What one dispatcher has out at one worker: the seats and the work, as told to the others.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Share {
+    pub worker: WorkerId,
+    /// In halves of a seat.
+    pub halves: u8,
+    /// In units of 16 ms.
+    pub work: u16,
+}
+
 /// The answer to a probe.
 #[derive(Clone, Copy, Debug)]
 pub struct Probed {
@@ -113,6 +123,11 @@
     },
     Ended(Ended),
     Probed(Probed),
+    /// Another dispatcher, by its number, tells what it has out.
+    Shared {
+        from: u16,
+        share: Share,
+    },
     Lapsed {
         txn: TxnId,
     },
@@ -127,11 +142,26 @@
 
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
-    Post { txn: TxnId, worker: WorkerId },
-    Probe { worker: WorkerId },
-    Decline { txn: TxnId, come_back: Nanos },
-    Reverse { txn: TxnId },
+    Post {
+        txn: TxnId,
+        worker: WorkerId,
+    },
+    Probe {
+        worker: WorkerId,
+    },
+    Decline {
+        txn: TxnId,
+        come_back: Nanos,
+    },
+    Reverse {
+        txn: TxnId,
+    },
     Follow,
-    Timer { at: Nanos, token: u64 },
+    /// To all other dispatchers; only where the settings allow it.
+    Tell(Share),
+    Timer {
+        at: Nanos,
+        token: u64,
+    },
     Say(String),
 }
