Tell errors that follow the txn from errors of the worker, by party

Ruled out: a few failing workers (errors are even over all 36), overload (before the trouble errors are 5 in 5 s). Should also hold against spoilt clients and jobs with missing data, whoever sends them. Hurts where most workers fail at once: then a txn that one of the rest would settle is given up after one posting.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -11,7 +11,7 @@
 use crate::state::Effect::{OnceOnly, Referenced, Repeatable};
 use crate::state::Stage::{Again, Answered, Doubted, Held, Out};
 use crate::state::{BINS, Bins, SECOND, below, fade};
-use crate::state::{Effect, InHand, Input, Map, Posting, Silence, Stage, Step};
+use crate::state::{Effect, InHand, Input, Map, Posting, SORTS, Silence, Sort, Stage, Step};
 use crate::state::{Trust, Worker};
 use crate::types::{Action, Ended, Event, Listed, Nanos, Outcome, Probed, Report, Scope, Share, Standing};
 use crate::types::{Txn, TxnId};
@@ -563,8 +563,10 @@
     }
 
     fn place(&mut self, now: Nanos, key: usize, acts: &mut Vec<Action>) {
-        let InHand { txn: Txn { id, expiry, .. }, due, run, posted, .. } = self.txns[key];
-        if posted >= self.most_postings || now >= expiry {
+        let InHand { txn: Txn { id, expiry, party, .. }, due, run, posted, legs, .. } = self.txns[key];
+        // Where errors are mostly the txns' own, one posting each is enough.
+        let own = legs.iter().any(|posting| posting.failed) && self.sort(party).own(now) > 0.6;
+        if posted >= self.most_postings || now >= expiry || own {
             return self.input(now, id, Input::GivenUp, acts);
         }
         let lane = self.lane(now, key);
@@ -609,7 +611,8 @@
         }
         worker.silent.iter_mut().for_each(|silence| silence.tried = now);
         let expected = worker.queue(hand.need, worker.told(now));
-        hand.legs[hand.posted] = Posting { worker: at, at: now, expected, started: None, out: true };
+        hand.legs[hand.posted] =
+            Posting { worker: at, at: now, expected, started: None, out: true, failed: false };
         let token = token(hand.txn.id, hand.posted);
         hand.posted += 1;
         hand.stage = next(hand.stage, Input::Posted, hand.effect).0;
@@ -675,13 +678,43 @@
         acts.push(Action::Timer { at: now + age.max(300_000_000), token });
     }
 
+    fn sort(&mut self, party: u16) -> &mut Sort {
+        &mut self.sorts[usize::from(party) % SORTS]
+    }
+
+    /// A txn that has failed at one worker and is settled, or fails, at another tells whose fault it was.
+    /// Guards against txns that fail wherever they go (spoilt, unknown, of one party or of all): they would be paid for
+    /// again and again, and every worker would look bad. Holds against any error that follows the txn, not the worker.
+    /// Hurts where most workers fail at once: then a txn that one of the others would settle is given up.
+    fn judge(&mut self, now: Nanos, key: usize, leg: usize, failed: bool) {
+        let InHand { txn: Txn { party, scheme, .. }, legs, posted, .. } = self.txns[key];
+        let here = legs[leg].worker;
+        let doubt = self.workers[here].doubt(now, self.distrust, usize::from(scheme));
+        let before = legs[..posted].iter().filter(|posting| posting.failed && posting.worker != here);
+        let Some(before) = before.map(|posting| posting.worker).next_back() else { return };
+        if failed {
+            self.sort(party).add(now, 1.0 - doubt, 0.0);
+            // The worker before was not to blame.
+            let worker = &mut self.workers[before];
+            worker.trust.add(now, Worker::HALF, -0.5);
+            worker.of[usize::from(scheme)].add(now, Worker::HALF_OF, -0.5);
+        } else {
+            self.sort(party).add(now, 0.0, 1.0);
+        }
+    }
+
     fn ended(&mut self, now: Nanos, end: Ended, acts: &mut Vec<Action>) {
         let Ended { txn, leg, outcome, complete, report } = end;
         let Some((key, posting)) = self.posting(txn, leg) else { return };
         self.txns[key].legs[usize::from(leg)].out = false;
         self.tell(now, posting.worker, acts);
         self.read_report(now, posting.worker, report);
-        let InHand { run, due, txn: Txn { scheme, .. }, .. } = self.txns[key];
+        if matches!(outcome, Outcome::Settled | Outcome::Error) {
+            self.judge(now, key, usize::from(leg), outcome == Outcome::Error);
+        }
+        let InHand { run, due, txn: Txn { scheme, party, .. }, .. } = self.txns[key];
+        let workers = 1.0 - self.sort(party).own(now);
+        self.txns[key].legs[usize::from(leg)].failed = outcome == Outcome::Error;
         let scheme = usize::from(scheme);
         let worker = &mut self.workers[posting.worker];
         if outcome == Outcome::NoConnection {
@@ -704,8 +737,8 @@
             }
             Outcome::Error => {
                 // Starts do not make up for it. Guards against a worker that starts all and fails most.
-                worker.of[scheme].add(now, Worker::HALF_OF, 0.3);
-                worker.blame(now, &posting, scheme, 0.5);
+                worker.of[scheme].add(now, Worker::HALF_OF, 0.3 * workers);
+                worker.blame(now, &posting, scheme, 0.5 * workers);
             }
             Outcome::TimeOut => worker.blame(now, &posting, scheme, 0.5),
             Outcome::NoConnection | Outcome::Broken => worker.blame(now, &posting, scheme, 0.6),
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -694,3 +694,65 @@
         acts.iter().filter_map(|act| if let Action::Tell(share) = act { Some(share.halves) } else { None });
     tells.collect()
 }
+
+fn ended(txn: TxnId, leg: u8, outcome: Outcome) -> Event {
+    Event::Ended(Ended {
+        txn,
+        leg,
+        outcome,
+        complete: outcome == Outcome::Settled,
+        report: Report::default(),
+    })
+}
+
+/// Posts repeatable txns of one party; each fails at its first worker and at every other one, or there is settled.
+/// Postings of each, and the most distrust left of a worker.
+fn failing(d: &mut Dispatcher, count: u32, everywhere: bool) -> (Vec<usize>, f64) {
+    let (mut postings, mut now) = (Vec::new(), MS);
+    for id in 1..=count {
+        let mut acts = handle(d, now, Event::Arrived(txn(id, 0, 100 * MS, now)));
+        let mut leg = 0;
+        while acts.iter().any(|act| matches!(act, Action::Post { .. })) {
+            now += 5 * MS;
+            let outcome = if leg > 0 && !everywhere { Outcome::Settled } else { Outcome::Error };
+            acts = handle(d, now, ended(id, leg, outcome));
+            leg += 1;
+        }
+        if everywhere {
+            assert!(
+                acts.iter().any(|act| matches!(act, Action::Decline { txn, .. } if *txn == id)),
+                "{acts:?}"
+            );
+        }
+        postings.push(usize::from(leg));
+    }
+    let doubt = d.workers.iter().map(|w| w.doubt(now, 0.0, 0)).fold(0.0, f64::max);
+    (postings, doubt)
+}
+
+fn without_probes(workers: u8) -> Dispatcher {
+    let mut map = settings();
+    map.insert("probe.allowed".into(), "false".into());
+    let mut d = Dispatcher::start(0, 7, &map).unwrap();
+    d.handle(0, Event::List { scope: Scope::Kept, entries: warm(workers) }, &mut Vec::new());
+    d
+}
+
+/// Guards against paying for what fails everywhere again and again, with all workers in doubt at the end.
+#[test]
+fn txns_that_fail_everywhere_cost_one_posting_each_once_known() {
+    let mut d = without_probes(8);
+    let (postings, doubt) = failing(&mut d, 20, true);
+    assert!(postings[0] > 1 && postings[4..].iter().all(|n| *n == 1), "{postings:?}");
+    assert!(doubt < 0.5, "{doubt}");
+    // Another party is not held to account, and this one is tried again after a while.
+    assert_eq!(d.sort(1).own(100 * MS), 0.0);
+    assert!(d.sort(0).own(20_000 * MS) < 0.6);
+}
+
+/// Guards against taking workers that fail for txns that do.
+#[test]
+fn txns_that_another_worker_settles_are_still_repeated() {
+    let (postings, _) = failing(&mut without_probes(8), 20, false);
+    assert_eq!(postings, [2; 20]);
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -74,6 +74,8 @@
     pub expected: f64,
     pub started: Option<Nanos>,
     pub out: bool,
+    /// Whether it ended in an error.
+    pub failed: bool,
 }
 
 /// Postings kept for one txn; where more are allowed, no more than these are made.
@@ -143,6 +145,28 @@
     }
 }
 
+/// Of the txns of one party that ended in an error and were posted again, how many failed at another worker too, and how
+/// many were settled; both halve in 10 s.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Sort {
+    pub failed: f64,
+    pub settled: f64,
+    pub at: Nanos,
+}
+
+impl Sort {
+    pub fn add(&mut self, now: Nanos, failed: f64, settled: f64) {
+        let keep = fade(1.0, self.at, now, 10.0 * SECOND);
+        *self = Sort { failed: self.failed * keep + failed, settled: self.settled * keep + settled, at: now };
+    }
+
+    /// The part of errors that are the txn's own; none until seen.
+    pub fn own(&self, now: Nanos) -> f64 {
+        let keep = fade(1.0, self.at, now, 10.0 * SECOND);
+        keep * self.failed / (keep * (self.failed + self.settled) + 1.0)
+    }
+}
+
 /// What another dispatcher told that it has out at a worker, and when it did.
 #[derive(Clone, Copy, Debug)]
 pub struct Told {
@@ -380,6 +404,8 @@
     }
 }
 
+pub const SORTS: usize = 32;
+
 /// One submitter's dispatcher; how to call it stands in `policy`.
 #[derive(Default)]
 pub struct Dispatcher {
@@ -388,6 +414,8 @@
     pub(crate) workers: Vec<Worker>,
     pub(crate) known: FxHashMap<WorkerId, usize>,
     pub(crate) txns: Slab<InHand>,
+    /// By party; some share one where there are many.
+    pub(crate) sorts: [Sort; SORTS],
     pub(crate) held: FxHashMap<TxnId, usize>,
     pub(crate) gaps: [Gaps; 2],
     /// Where a report has its free slots and its jobs in flight.
