Learn a worker's pace from its first jobs and its kind; turn away by queues alone

Change: first jobs weigh more, a worker not yet seen has its kind's mean; turned away and late count the queue alone. Should also hold against any worker that is slower than listed (reports untrue, crowded machines). Hurts where a kind's workers differ more among themselves than from other kinds.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -218,6 +218,10 @@
             }
         }
         for w in &mut self.workers {
+            // Until it has run a job, what its kind has shown.
+            if let Some((mean, _)) = self.paces.get(usize::from(w.kind)).filter(|_| w.paced == 0.0) {
+                w.pace = *mean;
+            }
             let limit = if w.logged { 0.1 } else { 0.5 };
             let doubted = |scheme: &usize| w.doubt(now, self.distrust, *scheme) > limit;
             let of: Vec<usize> = (0..w.of.len()).filter(doubted).collect();
@@ -531,7 +535,8 @@
                 + worker.of[usize::from(txn.scheme)].now(now, Worker::HALF_OF)
                 + f64::from(failed);
             if cost < least {
-                (least, best) = (cost, Some((at, wait, strain)));
+                // Turned away is by the queue alone: that a worker is slow shortens its room, but is no overload.
+                (least, best) = (cost, Some((at, wait, wait / hand.room(now, 1.0).max(1.0))));
             }
         }
         best
@@ -641,9 +646,10 @@
         (worker.lag, worker.lag_at) = (posting.delay(now), now);
         let hand = &self.txns[key];
         // The fleet's delay, in rooms of the txn (past 1.5 none is sent), is the mean of some ten starts.
-        let delay = (worker.lag / hand.room(posting.at, worker.pace).max(1e6)).min(1.5);
+        let delay = (worker.lag / hand.room(posting.at, worker.pace).max(0.25 * hand.run)).min(1.5);
         (self.lag, self.lag_at) = (self.lag + 0.1 * (delay - self.lag), now);
-        let late = now as f64 + hand.run * worker.pace > hand.due as f64;
+        // What would have come late from an idle worker too tells nothing of queues.
+        let late = hand.room(now, worker.pace) < 0.0 && hand.room(posting.at, worker.pace) > 0.0;
         self.late += 0.05 * self.rare * (f64::from(late) - self.late);
         let run = 2.0 * hand.run * worker.pace + 0.5 * SECOND;
         let (kind, running) = (worker.kind, worker.running);
@@ -728,9 +734,16 @@
         match outcome {
             Outcome::Settled => {
                 if let Some(from) = posting.started {
-                    // One job tells little of a worker's pace (its hint may be off): a tenth at a time.
+                    // One job tells little of a worker's pace (its hint may be off): a tenth at a time, the first ones
+                    // more. Guards against a slow worker that few jobs of each dispatcher go to, and is long unknown.
                     let pace = ((now - from) as f64 / run).clamp(0.2, 10.0);
-                    worker.pace += 0.1 * (pace - worker.pace);
+                    worker.paced = (worker.paced + 1.0).min(9.0);
+                    worker.pace += (pace - worker.pace) / (worker.paced + 1.0);
+                    let kind = usize::from(worker.kind);
+                    self.paces.resize(self.paces.len().max(kind + 1), (1.0, 0.0));
+                    let (mean, count) = &mut self.paces[kind];
+                    *count = (*count + 1.0).min(50.0);
+                    *mean += (pace - *mean) / *count;
                 }
                 worker.heard(now, 0.2);
                 worker.of[scheme].add(now, Worker::HALF_OF, -0.2);
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -756,3 +756,37 @@
     let (postings, _) = failing(&mut without_probes(8), 20, false);
     assert_eq!(postings, [2; 20]);
 }
+
+/// Guards against a slow kind of worker that each of many dispatchers would have to find out one by one.
+#[test]
+fn a_worker_not_yet_seen_has_the_pace_of_its_kind() {
+    let mut d = without_probes(2);
+    for id in 1..=4 {
+        let now = u64::from(id) * 500 * MS;
+        handle(&mut d, now, Event::Arrived(txn(id, 0, 100 * MS, now)));
+        handle(&mut d, now, Event::Started { txn: id, leg: 0 });
+        handle(&mut d, now + 200 * MS, ended(id, 0, Outcome::Settled));
+    }
+    handle(&mut d, 3_000 * MS, Event::Due { token: BEAT });
+    assert!(
+        d.workers.iter().all(|worker| worker.pace > 1.4),
+        "{:?}",
+        d.workers.iter().map(|w| w.pace).collect::<Vec<_>>()
+    );
+    assert!(d.workers.iter().any(|worker| worker.paced == 0.0));
+}
+
+/// Guards against turning txns away on a quiet day, as a slow worker leaves them little room: that is no queue.
+#[test]
+fn what_a_slow_worker_makes_late_is_no_overload() {
+    let mut d = without_probes(1);
+    d.workers[0].pace = 4.0;
+    for id in 1..=20 {
+        let now = u64::from(id) * 1_000 * MS;
+        let acts = handle(&mut d, now, Event::Arrived(txn(id, 0, 300 * MS, now)));
+        assert!(matches!(acts[..], [Action::Post { .. }]), "{acts:?}");
+        handle(&mut d, now + MS, Event::Started { txn: id, leg: 0 });
+        handle(&mut d, now + 900 * MS, ended(id, 0, Outcome::Settled));
+    }
+    assert_eq!(d.late, 0.0);
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -196,8 +196,9 @@
     pub started: Nanos,
     /// Most slots its kind is known to run at once.
     pub seats: f64,
-    /// Running time for one unit of hinted work.
+    /// Running time for one unit of hinted work, and how many jobs tell it, up to ten.
     pub pace: f64,
+    pub paced: f64,
     pub trust: Trust,
     /// What each scheme alone has met.
     pub of: Vec<Trust>,
@@ -437,6 +438,8 @@
     /// How many dispatchers keep to one worker.
     pub(crate) sharers: f64,
     pub(crate) cut_at: Nanos,
+    /// The pace of each kind of worker, and how many jobs tell it.
+    pub(crate) paces: Vec<(f64, f64)>,
     /// How rare jobs are here: 1 where the histogram holds 150 or more, up to 3.
     pub(crate) rare: f64,
     /// The start delay of late, over all workers.
