Keep to eight workers each where four to twelve dispatchers share one

Change: m = eight lanes, bounded by four and by twelve sharers; those who tell each other what they have out use all workers. Should also hold against false reports (own starts tell sooner) and new connections (fewer). Hurts where traffic is very uneven over dispatchers.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -19,8 +19,8 @@
 #[cfg(test)]
 mod tests;
 
-/// Each dispatcher keeps to so many workers that twelve share each: of one to a hundred and more, few enough to hear of
-/// them and reuse connections, enough that uneven traffic evens out.
+/// Each dispatcher keeps to so many workers that at most twelve share each: few enough to hear of them and reuse
+/// connections, enough that uneven traffic evens out.
 const SHARERS: f64 = 12.0;
 
 const ALL: &[Effect] = &[Repeatable, Referenced, OnceOnly];
@@ -332,7 +332,11 @@
         for at in 0..self.schemes.len() {
             let (me, all) = (self.says("me") as usize, &self.schemes[at].all);
             let n = all.len();
-            let m = ((SHARERS * n as f64 / self.dispatchers).ceil() as usize).min(n);
+            // Eight each, as long as four to twelve share a worker: fewer lanes are heard of more often, and by more the
+            // chance of who sends how much evens out. Those who tell each other what they have out need not divide them.
+            let each = n as f64 / self.dispatchers;
+            let some = 8.0_f64.max(4.0 * each).min(SHARERS * each).ceil() as usize;
+            let m = if self.shares { n } else { some.min(n) };
             let pick = |lane: usize| {
                 let among = &all[lane * n / m..(lane + 1) * n / m];
                 let (len, block) = (among.len(), me / among.len());
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -347,7 +347,9 @@
     posted
 }
 
-#[test_case(9, 40 => (40, 9, 9); "few dispatchers use all workers")]
+#[test_case(4, 40 => (40, 4, 4); "few dispatchers use all workers")]
+#[test_case(9, 40 => (18, 3, 5); "some more, four share each")]
+#[test_case(40, 50 => (8, 5, 7); "eight lanes each")]
 #[test_case(200, 100 => (6, 11, 13); "of many, about twelve share each")]
 #[test_case(500, 100 => (3, 14, 16); "or a few more")]
 fn workers_are_shared_evenly(dispatchers: u32, workers: u8) -> (usize, usize, usize) {
