--- a/src/policy.rs
+++ b/src/policy.rs
@@ -176,9 +176,6 @@
         new.schemes.iter_mut().for_each(|scheme| scheme.high = scheme.value > median);
         // Each hears from all, so that what is told grows as the square: up to as many as share a worker.
         new.shares &= new.dispatchers > 1.0 && new.dispatchers <= SHARERS;
-        if new.shares {
-            new.unseen = 0.0;
-        }
         Ok(new)
     }
 
