Keep once-only txns from a worker where any scheme has failed of late

Change: for a once-only txn the worst of all schemes' errors at a worker counts as its own; no number more is kept for a worker. Hurts where a worker fails one scheme for good: once-only ones of others keep away as well while there is room elsewhere.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -512,7 +512,11 @@
             } else {
                 (worker.seats.round() / self.dispatchers).max(1.0)
             };
-            let doubt = worker.doubt(now, self.distrust, usize::from(txn.scheme));
+            // What failed with one scheme may fail with the next: that alone keeps away what cannot be posted again.
+            let of = |scheme: &Trust| scheme.now(now, Worker::HALF_OF);
+            let own = of(&worker.of[usize::from(txn.scheme)]);
+            let failing = if effect == OnceOnly { worker.of.iter().map(of).fold(0.0, f64::max) } else { own };
+            let doubt = worker.doubt(now, self.distrust, usize::from(txn.scheme)).max(failing);
             let cold = self.warmth(worker, now) < 1.0;
             if cold && self.budget(worker, now) < work && !is(Fault::ColdIgnored) {
                 continue;
@@ -533,7 +537,7 @@
             let cost = strain
                 + (worker.ahead / room + worker.out) / worker.seats
                 + doubt
-                + worker.of[usize::from(txn.scheme)].now(now, Worker::HALF_OF)
+                + failing
                 + f64::from(failed);
             if cost < least {
                 // Turned away is by the queue alone: that a worker is slow shortens its room, but is no overload.
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -792,3 +792,19 @@
     }
     assert_eq!(d.late, 0.0);
 }
+
+/// Guards against workers that fail by turns: what can be repeated finds out, and the rest keeps away for a while.
+#[test_case(2, 1_000 => false; "once-only, soon after")]
+#[test_case(2, 60_000 => true; "once-only, a minute after")]
+#[test_case(1, 1_000 => true; "another scheme that may be repeated")]
+fn goes_where_another_scheme_has_failed(scheme: u8, after: Nanos) -> bool {
+    let mut d = without_probes(2);
+    d.workers[0].of[0].add(0, Worker::HALF_OF, 0.6);
+    (1..=20).any(|id| {
+        let now = (after + u64::from(id)) * MS;
+        let acts = handle(&mut d, now, Event::Arrived(txn(id, scheme, 50 * MS, now)));
+        let [Action::Post { worker, .. }] = acts[..] else { panic!("{acts:?}") };
+        handle(&mut d, now, ended(id, 0, Outcome::Settled));
+        worker == super::tests::id(0)
+    })
+}
