Believe reports as far as a worker's starts bear them out; leave absurd figures out

That reports were untrue, not the workers' errors, showed by their own starts: no errors, no list change, ran 1.8 to 2.4 times their hint with none in flight reported. Ruled out: more probes (they carry the same report), rounded seats. Should also hold against stale reports and ones stuck at full. Hurts a worker really idle after a false spell: it gets its part only until starts bear it out. An infinite figure gave a whole kind of workers endless seats: not any more.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -209,6 +209,9 @@
         if self.workers.iter().any(|worker| worker.refusals > 0) {
             self.keep_to(now);
         }
+        if self.absurd > 0 {
+            acts.push(Action::Say(format!("{} absurd figures in reports", std::mem::take(&mut self.absurd))));
+        }
         for at in 0..if self.shares { self.workers.len() } else { 0 } {
             if self.workers[at].out > 0.0 {
                 self.tell(now, at, acts);
@@ -534,11 +537,8 @@
             // Own jobs in flight, and their work, weigh again: what others see and do is alike. A job that fails
             // loses all, one that waits out its room a part: doubt weighs twice. And it failed there before.
             let failed = hand.legs[..hand.posted].iter().any(|posting| posting.worker == at);
-            let cost = strain
-                + (worker.ahead / room + worker.out) / worker.seats
-                + doubt
-                + failing
-                + f64::from(failed);
+            let cost =
+                strain + (worker.ahead / room + worker.out) / worker.seats + doubt + own + f64::from(failed);
             if cost < least {
                 // Turned away is by the queue alone: that a worker is slow shortens its room, but is no overload.
                 (least, best) = (cost, Some((at, wait, wait / hand.room(now, 1.0).max(1.0))));
@@ -620,9 +620,11 @@
             worker.spent.push_back((now, hand.work));
         }
         worker.silent.iter_mut().for_each(|silence| silence.tried = now);
+        let promised =
+            now < worker.others_at + BEAT_EVERY && worker.out + worker.others + hand.need <= worker.seats;
         let expected = worker.queue(hand.need, worker.told(now));
         hand.legs[hand.posted] =
-            Posting { worker: at, at: now, expected, started: None, out: true, failed: false };
+            Posting { worker: at, at: now, expected, started: None, out: true, failed: false, promised };
         let token = token(hand.txn.id, hand.posted);
         hand.posted += 1;
         hand.stage = next(hand.stage, Input::Posted, hand.effect).0;
@@ -650,6 +652,11 @@
         }
         (worker.lag, worker.lag_at) = (posting.delay(now), now);
         let hand = &self.txns[key];
+        if posting.promised {
+            // A start later than half a run belies the report of a free seat; one may be just out of date.
+            let by = if worker.lag > 0.5 * hand.run * worker.pace { 0.5 } else { -0.1 };
+            worker.belied.add(now, 2.0 * Worker::HALF, by);
+        }
         // The fleet's delay, in rooms of the txn (past 1.5 none is sent), is the mean of some ten starts.
         let delay = (worker.lag / hand.room(posting.at, worker.pace).max(0.25 * hand.run)).min(1.5);
         (self.lag, self.lag_at) = (self.lag + 0.1 * (delay - self.lag), now);
@@ -781,7 +788,11 @@
     }
 
     fn read_report(&mut self, now: Nanos, at: usize, report: Report) {
-        let value = |at: Option<usize>| report.values[..report.count].get(at?).map(|value| f64::from(*value));
+        // No worker holds so many; what is not a number, or below none, is absurd too and counts as not reported.
+        let sane = |value: &f32| (0.0..1e4).contains(value);
+        let values = &report.values[..report.count.min(report.values.len())];
+        self.absurd += values.iter().filter(|value| !sane(value)).count() as u64;
+        let value = |at: Option<usize>| values.get(at?).filter(|value| sane(value)).map(|v| f64::from(*v));
         let [free, inflight] = self.report_at.map(value);
         if free.is_none() && inflight.is_none() {
             return;
@@ -789,12 +800,17 @@
         self.tally(now);
         // Free slots come with noise, of which the most seen would be the worst: a fifth of the way each.
         let (kind, seats) = (self.workers[at].kind, self.workers[at].seats);
+        let belied = self.workers[at].belied.now(now, 2.0 * Worker::HALF);
         if let Some(free) = free.filter(|free| *free > seats + 0.25) {
-            self.seats(kind, seats + 0.2 * (free - seats));
+            self.seats(kind, seats + 0.2 * (1.0 - belied) * (free - seats));
         }
         let worker = &mut self.workers[at];
         let by_slots = free.map(|free| worker.seats - free - worker.running);
         worker.others = inflight.map(|all| all - worker.out).or(by_slots).unwrap_or(0.0).max(0.0);
+        // A worker whose reports its starts belie is taken for one like the others. Guards against reports of no load, of
+        // an old one, or of full seats, and against ones older than a job runs. Hurts one that is really idle for long:
+        // it gets no more than its part until starts have borne it out.
+        worker.others += belied * (self.others - worker.others);
         // Reports are late: a lone dispatcher would take its own newest jobs for others'.
         worker.others *= self.unseen;
         worker.others_at = now;
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -808,3 +808,43 @@
         worker == super::tests::id(0)
     })
 }
+
+/// Reports two jobs in flight of two seats or none, and starts each job after so long; what is then believed of others' jobs.
+fn believed(inflight: f32, wait: Nanos) -> f64 {
+    let mut d = without_probes(1);
+    (d.others, d.unseen) = (1.0, 1.0);
+    for id in 1..=12 {
+        let now = u64::from(id) * 400 * MS;
+        handle(&mut d, now, Event::Arrived(txn(id, 0, 100 * MS, now)));
+        handle(&mut d, now + wait, Event::Started { txn: id, leg: 0 });
+        let report = Report { count: 2, values: [inflight, 2.0 - inflight, 0.0, 0.0] };
+        let end = Ended { txn: id, leg: 0, outcome: Outcome::Settled, complete: true, report };
+        handle(&mut d, now + wait + 100 * MS, Event::Ended(end));
+        d.others = 1.0;
+    }
+    d.workers[0].others
+}
+
+/// Guards against workers that run slow and say that they are idle, and against switching true reports off for it.
+#[test_case(MS => true; "borne out: believed in full")]
+#[test_case(200 * MS => false; "starts tell otherwise: taken for one like the others")]
+fn reports_are_believed_as_starts_bear_them_out(wait: Nanos) -> bool {
+    let others = believed(0.0, wait);
+    assert!(!(0.1..=0.8).contains(&others), "{others}");
+    others < 0.1
+}
+
+/// Guards against one absurd figure that would give a whole kind of workers endless seats.
+#[test_case([f32::INFINITY, f32::INFINITY])]
+#[test_case([f32::NAN, f32::NAN])]
+#[test_case([-3.0, -1.0])]
+#[test_case([1e30, 1e30])]
+fn absurd_reports_count_as_none(values: [f32; 2]) {
+    let mut d = without_probes(2);
+    let report = Report { count: 9, values: [values[0], values[1], 0.0, 0.0] };
+    d.read_report(MS, 0, report);
+    let worker = &d.workers[0];
+    assert_eq!((worker.seats, worker.others, worker.others_at), (2.0, 0.0, 0));
+    let acts = handle(&mut d, MS, Event::Due { token: BEAT });
+    assert!(acts.contains(&Action::Say("2 absurd figures in reports".into())), "{acts:?}");
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -76,6 +76,8 @@
     pub out: bool,
     /// Whether it ended in an error.
     pub failed: bool,
+    /// Whether a report promised a free seat when it was sent.
+    pub promised: bool,
 }
 
 /// Postings kept for one txn; where more are allowed, no more than these are made.
@@ -214,6 +216,8 @@
     /// Slots that others hold by its last report.
     pub others: f64,
     pub others_at: Nanos,
+    /// How far its reports of a free seat were belied by starts.
+    pub belied: Trust,
     /// What other dispatchers told of it, one line each.
     pub theirs: Vec<Told>,
     /// How often in a row it took no connection, and until when it is not asked again.
@@ -447,6 +451,8 @@
     pub(crate) lag_at: Nanos,
     pub(crate) others: f64,
     pub(crate) late: f64,
+    /// Figures in reports that cannot be, since the log was told.
+    pub(crate) absurd: u64,
     /// The mean distrust, and the least capacity for a unit of listed size, as of the last beat.
     pub(crate) distrust: f64,
     pub(crate) unit: f64,
