Count a slow worker's small room when starts are late; learn no pace from cold workers

Change: the room that turning away goes by narrows from the hint's to the pace's as starts get late (three times the measure, as in kept()). Hurts where many starts are late for another reason than queues.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -493,6 +493,7 @@
         {
             return Some((*at, 0.0, 0.0));
         }
+        let late = fade(self.late, self.lag_at, now, SECOND * self.rare);
         let (mut least, mut best) = (f64::INFINITY, None);
         for step in 0..2 * lanes.len() {
             let far = step.div_ceil(2);
@@ -540,8 +541,10 @@
             let cost =
                 strain + (worker.ahead / room + worker.out) / worker.seats + doubt + own + f64::from(failed);
             if cost < least {
-                // Turned away is by the queue alone: that a worker is slow shortens its room, but is no overload.
-                (least, best) = (cost, Some((at, wait, wait / hand.room(now, 1.0).max(1.0))));
+                // Turned away is by the queue: that a worker is slow shortens its room, but is no overload, and counts only
+                // as far as starts are late.
+                let pace = 1.0 + (worker.pace - 1.0) * (3.0 * late).min(1.0);
+                (least, best) = (cost, Some((at, wait, wait / hand.room(now, pace).max(1.0))));
             }
         }
         best
@@ -734,6 +737,7 @@
         let workers = 1.0 - self.sort(party).own(now);
         self.txns[key].legs[usize::from(leg)].failed = outcome == Outcome::Error;
         let scheme = usize::from(scheme);
+        let warm = self.warmth(&self.workers[posting.worker], now) >= 1.0;
         let worker = &mut self.workers[posting.worker];
         if outcome == Outcome::NoConnection {
             worker.refused(now);
@@ -745,7 +749,8 @@
         }
         match outcome {
             Outcome::Settled => {
-                if let Some(from) = posting.started {
+                // A cold one is slow for another reason, and not for long.
+                if let Some(from) = posting.started.filter(|_| warm) {
                     // One job tells little of a worker's pace (its hint may be off): a tenth at a time, the first ones
                     // more. Guards against a slow worker that few jobs of each dispatcher go to, and is long unknown.
                     let pace = ((now - from) as f64 / run).clamp(0.2, 10.0);
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -848,3 +848,30 @@
     let acts = handle(&mut d, MS, Event::Due { token: BEAT });
     assert!(acts.contains(&Action::Say("2 absurd figures in reports".into())), "{acts:?}");
 }
+
+/// Guards against a jam kept up: where starts are late, what a slow worker leaves of a txn's room is what counts.
+#[test_case(0.0 => true; "no start late: sent")]
+#[test_case(1.0 => false; "starts late: turned away")]
+fn a_slow_worker_with_a_queue_takes_less_where_starts_are_late(late: f64) -> bool {
+    let mut d = without_probes(1);
+    let worker = &mut d.workers[0];
+    // Of 600 ms of room its pace leaves 100; a wait of 200 ms.
+    (worker.pace, worker.paced, worker.lag, worker.lag_at) = (2.6, 9.0, 200.0 * 1e6, 0);
+    (d.late, d.lag_at, d.unseen) = (late, 0, 0.0);
+    let acts = handle(&mut d, 0, Event::Arrived(txn(1, 0, 300 * MS, 0)));
+    matches!(acts[..], [Action::Post { .. }])
+}
+
+/// Guards against taking a worker for slow for good that was cold when it ran its first jobs.
+#[test]
+fn a_cold_worker_tells_no_pace() {
+    let mut d = without_probes(1);
+    d.workers[0].started = 1;
+    let posting = Posting { started: Some(MS), out: true, ..Posting::default() };
+    let mut hand = InHand::new(txn(1, 0, 100 * MS, 0), Repeatable, 1e8, 1e8, 1.0, 500 * MS);
+    (hand.stage, hand.posted, hand.legs[0]) = (Out, 1, posting);
+    let key = d.txns.insert(hand);
+    d.held.insert(1, key);
+    handle(&mut d, 400 * MS, ended(1, 0, Outcome::Settled));
+    assert_eq!((d.workers[0].pace, d.paces.len()), (1.0, 0));
+}
