Let cold workers tell their own pace by a tenth a job: budgets rest on it where none is warm

Where no worker is warm, full capacity comes from cold ones' seats and pace, and cold ones told no pace any more.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -749,18 +749,20 @@
         }
         match outcome {
             Outcome::Settled => {
-                // A cold one is slow for another reason, and not for long.
-                if let Some(from) = posting.started.filter(|_| warm) {
+                if let Some(from) = posting.started {
                     // One job tells little of a worker's pace (its hint may be off): a tenth at a time, the first ones
                     // more. Guards against a slow worker that few jobs of each dispatcher go to, and is long unknown.
                     let pace = ((now - from) as f64 / run).clamp(0.2, 10.0);
-                    worker.paced = (worker.paced + 1.0).min(9.0);
+                    // A cold one is slow for another reason, and not for long: a tenth, and its kind is not told.
+                    worker.paced = if warm { (worker.paced + 1.0).min(9.0) } else { 9.0 };
                     worker.pace += (pace - worker.pace) / (worker.paced + 1.0);
-                    let kind = usize::from(worker.kind);
-                    self.paces.resize(self.paces.len().max(kind + 1), (1.0, 0.0));
-                    let (mean, count) = &mut self.paces[kind];
-                    *count = (*count + 1.0).min(50.0);
-                    *mean += (pace - *mean) / *count;
+                    if warm {
+                        let kind = usize::from(worker.kind);
+                        self.paces.resize(self.paces.len().max(kind + 1), (1.0, 0.0));
+                        let (mean, count) = &mut self.paces[kind];
+                        *count = (*count + 1.0).min(50.0);
+                        *mean += (pace - *mean) / *count;
+                    }
                 }
                 worker.heard(now, 0.2);
                 worker.of[scheme].add(now, Worker::HALF_OF, -0.2);
