Count what a new worker got before its start was told; capacity by own jobs' pace

Change: on hearing of a new process, what this dispatcher's txns in hand sent it since its start is spent; capacity goes by own jobs' pace. Should also hold against lists that come late. Hurts a reborn worker of a fleet with long jobs: up to one window of budget less.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -256,7 +256,9 @@
         let some = ready().any(|w| self.warmth(w, now) >= 1.0);
         let full = ready().filter(|w| !some || self.warmth(w, now) >= 1.0);
         // And none is taken to be faster than hints say, as the cold one may be the slow one.
-        let mut units: Vec<f64> = full.map(|w| w.seats / w.pace.max(1.0) / w.size).collect();
+        // Only its own jobs tell of it here: a kind's mean for all not yet seen left cold workers idle.
+        let pace = |w: &Worker| if w.paced > 0.0 { w.pace.max(1.0) } else { 1.0 };
+        let mut units: Vec<f64> = full.map(|w| w.seats / pace(w) / w.size).collect();
         units.sort_unstable_by(f64::total_cmp);
         self.unit = units.get(units.len().saturating_sub(1) / 4).copied().unwrap_or(0.0);
     }
@@ -299,7 +301,9 @@
             let worker = &mut self.workers[at];
             if entry.started != worker.started {
                 // A new process: what was held against the old one is void, and it starts cold.
-                (worker.trust, worker.silent, worker.lag, worker.spent) = Default::default();
+                (worker.trust, worker.silent, worker.lag) = Default::default();
+                // What went to it before its start was told of counts too. Guards against a fresh budget on top of that.
+                worker.spent = self.txns.iter().flat_map(|(_, hand)| hand.sent(at, entry.started)).collect();
                 (worker.refusals, worker.refused_till) = (0, 0);
                 worker.of.fill(Trust::default());
                 worker.started = entry.started;
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -876,3 +876,14 @@
     handle(&mut d, 400 * MS, ended(1, 0, Outcome::Settled));
     assert!((1.1..1.4).contains(&d.workers[0].pace) && d.paces.is_empty(), "{}", d.workers[0].pace);
 }
+
+/// Guards against a fresh budget on top of what went to a new process before its start was told.
+#[test_case(500 => 1; "posted after the start")]
+#[test_case(50 => 0; "to the process before")]
+fn a_cold_workers_budget_holds_what_went_there_unknowing(posted: Nanos) -> usize {
+    let mut d = without_probes(1);
+    handle(&mut d, posted * MS, Event::Arrived(txn(1, 2, 100 * MS, posted * MS)));
+    let entries = vec![entry(0, Standing::Ready, 100 * MS)];
+    handle(&mut d, 900 * MS, Event::List { scope: Scope::Changes, entries });
+    d.workers[0].spent.iter().filter(|(at, work)| *at == posted * MS && *work == 1e8).count()
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -120,6 +120,12 @@
         }
     }
 
+    /// When and with what work it was posted to a worker, from a moment on.
+    pub fn sent(&self, worker: usize, from: Nanos) -> impl Iterator<Item = (Nanos, f64)> {
+        let legs = self.legs[..self.posted].iter().filter(move |leg| leg.worker == worker && leg.at >= from);
+        legs.map(|leg| (leg.at, self.work))
+    }
+
     /// The time to spare before it is due, from a moment on, at a worker of such a pace.
     pub fn room(&self, from: Nanos, pace: f64) -> f64 {
         self.due.saturating_sub(from) as f64 - self.run * pace
