--- a/crates/wirehost/src/tests.rs
+++ b/crates/wirehost/src/tests.rs
@@ -77,3 +77,11 @@
     matches!(incoming, translate::Incoming::For(rosewall::types::Event::Shared { from: 3, share })
         if share.halves == 4 && share.work == 8)
 }
+
+#[test_case("Bounds.Peers", "true", "share.allowed"; "messages between dispatchers")]
+#[test_case("ScoreParts.TailPart", "0.2", "score.tail"; "the tail's part")]
+#[test_case("ScoreParts.MissAllowed", "0.02", "score.miss_allowed"; "misses allowed")]
+fn settings_have_names_of_ours(theirs: &str, value: &str, ours: &str) {
+    let map = rosewall_settings::ours([(theirs, value)]);
+    assert_eq!(map.get(ours).map(String::as_str), Some(value));
+}
