Tell what is out only to those who keep to the worker, at any number of dispatchers

Each dispatcher sees half a txn a second and hears of a worker every few seconds. At fault: SHARERS in start, which turned messages off past twelve dispatchers. A message now goes to those whose lanes the worker is (kept), not to all.

--- a/crates/node/src/hub.rs
+++ b/crates/node/src/hub.rs
@@ -418,7 +418,7 @@
             Action::Reverse { txn } => self.refuse(now, txn, Answer::Reversed, out),
             Action::Follow => out.push(Effect::Follow),
             // The platform gives no talk between dispatchers, and its settings say so.
-            Action::Tell(_) => {}
+            Action::Tell { .. } => {}
             Action::Timer { at, token } => self.arm(at, Due::Decisions(token)),
             Action::Say(text) => log::info!("{text}"),
         }
--- a/crates/wirehost/src/translate.rs
+++ b/crates/wirehost/src/translate.rs
@@ -170,10 +170,10 @@
         }
         Action::Reverse { txn } => reply.record(73, &[&txn.to_le_bytes()]),
         Action::Follow => reply.record(66, &[&[1]]),
-        Action::Tell(Share { worker, halves, work }) => {
-            let (all, length) = (u16::MAX.to_le_bytes(), (SHARE as u16).to_le_bytes());
+        Action::Tell { to, share: Share { worker, halves, work } } => {
+            let (to, length) = (to.to_le_bytes(), (SHARE as u16).to_le_bytes());
             let port = worker.port.to_le_bytes();
-            reply.record(71, &[&all, &length, &worker.addr, &port, &[*halves], &work.to_le_bytes()]);
+            reply.record(71, &[&to, &length, &worker.addr, &port, &[*halves], &work.to_le_bytes()]);
         }
         Action::Timer { at, token } => reply.record(74, &[&at.to_le_bytes(), &token.to_le_bytes()]),
         Action::Say(text) => {
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -100,6 +100,12 @@
     if present(high) && high > low { (r, 0.0, 0.2) } else { (r, 0.4, 0.0) }
 }
 
+/// Of `n` workers in id order, cut into `m` stretches: the one of a stretch that a dispatcher keeps to.
+fn kept(me: usize, lane: usize, m: usize, n: usize) -> usize {
+    let (from, len) = (lane * n / m, (lane + 1) * n / m - lane * n / m);
+    from + (me + lane * (me / len)) % len
+}
+
 impl Worker {
     /// Distrust halves in 5 s: several times the time between postings to one worker at low traffic.
     const HALF: f64 = 5.0 * SECOND;
@@ -174,8 +180,7 @@
         let count = values.len();
         let median = if count == 0 { 0.0 } else { (values[(count - 1) / 2] + values[count / 2]) / 2.0 };
         new.schemes.iter_mut().for_each(|scheme| scheme.high = scheme.value > median);
-        // Each hears from all, so that what is told grows as the square: up to as many as share a worker.
-        new.shares &= new.dispatchers > 1.0 && new.dispatchers <= SHARERS;
+        new.shares &= new.dispatchers > 1.0;
         Ok(new)
     }
 
@@ -238,11 +243,18 @@
         if self.shares {
             self.tally(now);
             let Worker { id, out, ahead, .. } = self.workers[at];
-            acts.push(Action::Tell(Share {
-                worker: id,
-                halves: (2.0 * out).ceil() as u8,
-                work: (ahead / 16e6) as u16,
-            }));
+            let share = Share { worker: id, halves: (2.0 * out).ceil() as u8, work: (ahead / 16e6) as u16 };
+            let (me, all) = (self.says("me") as usize, self.dispatchers as usize);
+            let listed = self.schemes.iter().map(|scheme| &scheme.all);
+            let Some((place, n)) =
+                listed.filter_map(|all| Some((all.iter().position(|w| *w == at)?, all.len()))).next()
+            else {
+                return;
+            };
+            let m = self.stretches(n);
+            let lane = (0..m).rfind(|lane| lane * n / m <= place).unwrap_or(0);
+            let keeps = |to: &usize| *to != me && kept(*to, lane, m, n) == place;
+            acts.extend((0..all).filter(keeps).map(|to| Action::Tell { to: to as u16, share }));
         }
     }
 
@@ -330,21 +342,25 @@
         self.follow(now, acts);
     }
 
+    /// Into how many stretches so many workers are cut, for each dispatcher to keep to one of each. Eight, as long as four to
+    /// twelve share a worker: fewer lanes are heard of more often, and by more the chance of who sends how much evens out.
+    fn stretches(&self, n: usize) -> usize {
+        let each = n as f64 / self.dispatchers;
+        let some = 8.0_f64.max(4.0 * each).min(SHARERS * each).ceil() as usize;
+        some.min(n)
+    }
+
     /// Which workers each scheme's lanes are: one of each stretch of ids, by turns over the dispatchers.
     fn keep_to(&mut self, now: Nanos) {
         self.sharers = 1.0;
         for at in 0..self.schemes.len() {
             let (me, all) = (self.says("me") as usize, &self.schemes[at].all);
             let n = all.len();
-            // Eight each, as long as four to twelve share a worker: fewer lanes are heard of more often, and by more the
-            // chance of who sends how much evens out. Those who tell each other what they have out need not divide them.
-            let each = n as f64 / self.dispatchers;
-            let some = 8.0_f64.max(4.0 * each).min(SHARERS * each).ceil() as usize;
-            let m = if self.shares { n } else { some.min(n) };
+            let m = self.stretches(n);
             let pick = |lane: usize| {
                 let among = &all[lane * n / m..(lane + 1) * n / m];
                 let (len, block) = (among.len(), me / among.len());
-                let turn = (me + lane * block) % len;
+                let turn = kept(me, lane, m, n) - lane * n / m;
                 // In place of one that takes no connection another of its stretch, each block of dispatchers its own, but
                 // none that is cold: its turns count on who keeps to it. Guards against lanes that lead nowhere for as
                 // long as no one tells that their workers are gone.
--- a/src/types.rs
+++ b/src/types.rs
@@ -157,8 +157,11 @@
         txn: TxnId,
     },
     Follow,
-    /// To all other dispatchers; only where the settings allow it.
-    Tell(Share),
+    /// To another dispatcher, by its number; only where the settings allow it.
+    Tell {
+        to: u16,
+        share: Share,
+    },
     Timer {
         at: Nanos,
         token: u64,
