Where dispatchers tell what they have out, count no reports of load beside

Seen: with messages on, a worker's queue held the same jobs twice, once as told and once as reported (read_report sets others, Worker::wait adds told to it), and reports are up to 1.9 s old. Hurts where others send who tell nothing: to be met with the mixed fleet.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -837,7 +837,7 @@
         // it gets no more than its part until starts have borne it out.
         worker.others += belied * (self.others - worker.others);
         // Reports are late: a lone dispatcher would take its own newest jobs for others'.
-        worker.others *= self.unseen;
+        worker.others *= if self.shares { 0.0 } else { self.unseen };
         worker.others_at = now;
         self.others += 0.1 * (worker.others - self.others);
     }
