--- a/src/policy.rs
+++ b/src/policy.rs
@@ -167,6 +167,7 @@
 const BEAT: u64 = u64::MAX;
 const ASK: u64 = u64::MAX - 1;
 const BEAT_EVERY: Nanos = 1_000_000_000;
+const TELL_EVERY: Nanos = 4_000_000_000;
 
 fn token(txn: TxnId, leg: usize) -> u64 {
     u64::from(txn) | (leg as u64) << 32
@@ -218,7 +219,7 @@
             acts.push(Action::Say(format!("{} absurd figures in reports", std::mem::take(&mut self.absurd))));
         }
         for at in 0..if self.shares { self.workers.len() } else { 0 } {
-            if self.workers[at].out > 0.0 {
+            if self.workers[at].out > 0.0 && now >= self.workers[at].told_at + TELL_EVERY {
                 self.tell(now, at, acts);
             }
         }
@@ -242,6 +243,7 @@
     fn tell(&mut self, now: Nanos, at: usize, acts: &mut Vec<Action>) {
         if self.shares {
             self.tally(now);
+            self.workers[at].told_at = now;
             let Worker { id, out, ahead, .. } = self.workers[at];
             let share = Share { worker: id, halves: (2.0 * out).ceil() as u8, work: (ahead / 16e6) as u16 };
             let (me, all) = (self.says("me") as usize, self.dispatchers as usize);
--- a/src/state.rs
+++ b/src/state.rs
@@ -224,6 +224,8 @@
     pub others_at: Nanos,
     /// How far its reports of a free seat were belied by starts.
     pub belied: Trust,
+    /// When the others were last told of it.
+    pub told_at: Nanos,
     /// What other dispatchers told of it, one line each.
     pub theirs: Vec<Told>,
     /// How often in a row it took no connection, and until when it is not asked again.
@@ -273,7 +275,7 @@
     /// Seats and work that others have told of. What is not told again counts no more after 2.5 s: all tell each
     /// second, so that two in a row were lost or who told them has died.
     pub fn told(&self, now: Nanos) -> (f64, f64) {
-        let fresh = self.theirs.iter().filter(|told| told.seats > 0.0 && now < told.at + 2_500_000_000);
+        let fresh = self.theirs.iter().filter(|told| told.seats > 0.0 && now < told.at + 10_000_000_000);
         fresh.fold((0.0, 0.0), |(seats, work), told| {
             let done = now.saturating_sub(told.at) as f64 * told.seats.min(self.seats);
             // A job past its time has, as such sizes go, a part of it still to run.
