Ten lanes where dispatchers tell each other; told as far as others would be wrong

Checked: shorter messages cost the same (4 bytes for 9), so it is their number that counts. At fault: tell (on every change) and keep_to (SHARERS bounds what is heard of at second hand; those who are told need no such bound).

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -12,7 +12,7 @@
 use crate::state::Stage::{Again, Answered, Doubted, Held, Out};
 use crate::state::{BINS, Bins, SECOND, below, fade};
 use crate::state::{Effect, InHand, Input, Map, Posting, SORTS, Silence, Sort, Stage, Step};
-use crate::state::{Trust, Worker};
+use crate::state::{Told, Trust, Worker};
 use crate::types::{Action, Ended, Event, Listed, Nanos, Outcome, Probed, Report, Scope, Share, Standing};
 use crate::types::{Txn, TxnId};
 
@@ -167,6 +167,9 @@
 const BEAT: u64 = u64::MAX;
 const ASK: u64 = u64::MAX - 1;
 const BEAT_EVERY: Nanos = 1_000_000_000;
+/// What is out is told again where the others would take it for this part of a mean job more or less than it is (0.1 to 0.6
+/// did alike, at a third the messages cost half), and each 4 s: what is told counts for 10 s, so that two in a row may be lost.
+const TELL_FROM: f64 = 0.3;
 const TELL_EVERY: Nanos = 4_000_000_000;
 
 fn token(txn: TxnId, leg: usize) -> u64 {
@@ -219,7 +222,7 @@
             acts.push(Action::Say(format!("{} absurd figures in reports", std::mem::take(&mut self.absurd))));
         }
         for at in 0..if self.shares { self.workers.len() } else { 0 } {
-            if self.workers[at].out > 0.0 && now >= self.workers[at].told_at + TELL_EVERY {
+            if self.workers[at].out > 0.0 {
                 self.tell(now, at, acts);
             }
         }
@@ -243,8 +246,14 @@
     fn tell(&mut self, now: Nanos, at: usize, acts: &mut Vec<Action>) {
         if self.shares {
             self.tally(now);
-            self.workers[at].told_at = now;
-            let Worker { id, out, ahead, .. } = self.workers[at];
+            let worker = &self.workers[at];
+            let Worker { id, out, ahead, said, .. } = *worker;
+            // As far as they would be wrong: they let go on by themselves what they were told.
+            let off = (ahead - said.left(now, worker.seats).1).abs();
+            if off <= TELL_FROM * self.mean && (out == 0.0 || now < said.at + TELL_EVERY) {
+                return;
+            }
+            self.workers[at].said = Told { from: 0, seats: out, work: ahead, at: now };
             let share = Share { worker: id, halves: (2.0 * out).ceil() as u8, work: (ahead / 16e6) as u16 };
             let (me, all) = (self.says("me") as usize, self.dispatchers as usize);
             let listed = self.schemes.iter().map(|scheme| &scheme.all);
@@ -346,10 +355,11 @@
 
     /// Into how many stretches so many workers are cut, for each dispatcher to keep to one of each. Eight, as long as four to
     /// twelve share a worker: fewer lanes are heard of more often, and by more the chance of who sends how much evens out.
+    /// Those who tell each other hear from however many share: ten.
     fn stretches(&self, n: usize) -> usize {
         let each = n as f64 / self.dispatchers;
-        let some = 8.0_f64.max(4.0 * each).min(SHARERS * each).ceil() as usize;
-        some.min(n)
+        let (least, most) = if self.shares { (10.0, f64::INFINITY) } else { (8.0, SHARERS * each) };
+        (f64::max(least, 4.0 * each).min(most).ceil() as usize).min(n)
     }
 
     /// Which workers each scheme's lanes are: one of each stretch of ids, by turns over the dispatchers.
@@ -584,6 +594,7 @@
         // Halves in 20 s, or under 150 jobs in up to 60 s, by when the mix moves; what starts tell likewise.
         let seen = self.schemes.iter().map(|scheme| scheme.seen).sum::<f64>();
         self.rare = (150.0 / seen).clamp(1.0, 3.0);
+        self.mean = self.schemes.iter().flat_map(|scheme| &scheme.bins).sum::<f64>() / seen;
         let keep = fade(1.0, self.cut_at, now, 20.0 * SECOND * self.rare);
         self.cut_at = now;
         self.schemes.iter_mut().for_each(|scheme| scheme.age(keep));
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -659,9 +659,10 @@
 /// Guards against a partial view: a worker that another has just filled is not free.
 #[test_case(None, 1000 => true; "nothing told")]
 #[test_case(Some((8, 500)), 1000 => false; "its seats are full of another's jobs")]
-#[test_case(Some((8, 0)), 1000 => false; "its seats are full of jobs about to end")]
+#[test_case(Some((8, 0)), 1000 => true; "they are over by now")]
 #[test_case(Some((0, 0)), 1000 => true; "they have ended")]
-#[test_case(Some((8, 500)), 4000 => true; "told too long ago: who told it may be dead")]
+#[test_case(Some((8, 500)), 4000 => false; "nothing new is told as long as that goes on")]
+#[test_case(Some((8, 9000)), 11000 => true; "told too long ago: who told it may be dead")]
 fn a_worker_is_free_by_what_others_told(told: Option<(u8, u16)>, at: Nanos) -> bool {
     let mut d = sharing(3, 2);
     let post = |d: &mut Dispatcher, id, now| {
@@ -687,16 +688,34 @@
     Event::Ended(Ended { txn, leg: 0, outcome, complete: true, report })
 }
 
-#[test_case(3 => vec![2, 0]; "few: with the posting and with its end")]
-#[test_case(40 => Vec::<u8>::new(); "each hears from all: too many for that")]
-#[test_case(1 => Vec::<u8>::new(); "no one to tell")]
-fn what_is_out_is_told(dispatchers: u32) -> Vec<u8> {
+/// Guards against messages that tell the others only what they take for so by themselves.
+#[test_case(3, 20 => vec![2, 2, 0, 0]; "an end that none expects")]
+#[test_case(3, 100 => vec![2, 2]; "an end at its time")]
+#[test_case(1, 20 => Vec::<u8>::new(); "no one to tell")]
+fn what_is_out_is_told(dispatchers: u32, end: Nanos) -> Vec<u8> {
     let mut d = sharing(dispatchers, 2);
     let mut acts = handle(&mut d, MS, Event::Arrived(txn(1, 2, 100 * MS, 0)));
-    acts.extend(handle(&mut d, 100 * MS, settled(1)));
-    let tells =
-        acts.iter().filter_map(|act| if let Action::Tell(share) = act { Some(share.halves) } else { None });
-    tells.collect()
+    acts.extend(handle(&mut d, end * MS, settled(1)));
+    acts.iter()
+        .filter_map(|act| if let Action::Tell { share, .. } = act { Some(share.halves) } else { None })
+        .collect()
+}
+
+/// Guards against messages to all, which grow as the square of the dispatchers.
+#[test]
+fn those_are_told_who_keep_to_the_worker() {
+    let lanes = |me: u32| {
+        let mut d = sharing(40, 30);
+        d.figures.insert("me", f64::from(me));
+        d.keep_to(0);
+        (d.schemes[0].lanes.clone(), d)
+    };
+    let (_, mut d) = lanes(7);
+    let acts = handle(&mut d, MS, Event::Arrived(txn(1, 2, 100 * MS, 0)));
+    let at = d.txns[0].legs[0].worker;
+    let told = acts.iter().filter_map(|act| if let Action::Tell { to, .. } = act { Some(*to) } else { None });
+    let keep = (0..40_u16).filter(|me| *me != 7 && lanes(u32::from(*me)).0.contains(&at));
+    assert_eq!(told.collect::<Vec<_>>(), keep.collect::<Vec<_>>());
 }
 
 fn ended(txn: TxnId, leg: u8, outcome: Outcome) -> Event {
@@ -894,9 +913,10 @@
     d.workers[0].spent.iter().filter(|(at, work)| *at == posted * MS && *work == 1e8).count()
 }
 
-/// Guards against dividing workers among dispatchers that see each other's work on all of them.
-#[test_case(6 => 40; "those who tell each other")]
-#[test_case(13 => 13; "too many to tell each other: four to a worker")]
+/// Guards against so few lanes that chance overloads them, where those who share them hear of each other.
+#[test_case(6 => 27; "four to a worker")]
+#[test_case(13 => 13; "four to a worker of more")]
+#[test_case(100 => 10; "ten lanes at least, however many share them")]
 fn lanes_kept_with_sharing(dispatchers: u32) -> usize {
     sharing(dispatchers, 40).schemes[0].lanes.len()
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -176,7 +176,7 @@
 }
 
 /// What another dispatcher told that it has out at a worker, and when it did.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct Told {
     pub from: u16,
     pub seats: f64,
@@ -184,6 +184,14 @@
     pub at: Nanos,
 }
 
+impl Told {
+    /// The seats and work that are still there by now, at a worker with so many seats.
+    pub fn left(&self, now: Nanos, seats: f64) -> (f64, f64) {
+        let done = now.saturating_sub(self.at) as f64 * self.seats.min(seats);
+        if self.work > done { (self.seats, self.work - done) } else { (0.0, 0.0) }
+    }
+}
+
 /// The posting and its scheme, when it was noticed, and when a job last went to try the worker.
 #[derive(Clone, Copy, Debug)]
 pub struct Silence {
@@ -224,8 +232,8 @@
     pub others_at: Nanos,
     /// How far its reports of a free seat were belied by starts.
     pub belied: Trust,
-    /// When the others were last told of it.
-    pub told_at: Nanos,
+    /// What the others were last told of it.
+    pub said: Told,
     /// What other dispatchers told of it, one line each.
     pub theirs: Vec<Told>,
     /// How often in a row it took no connection, and until when it is not asked again.
@@ -272,15 +280,11 @@
         }
     }
 
-    /// Seats and work that others have told of. What is not told again counts no more after 2.5 s: all tell each
-    /// second, so that two in a row were lost or who told them has died.
+    /// Seats and work that others have told of, as long as they are told again.
     pub fn told(&self, now: Nanos) -> (f64, f64) {
-        let fresh = self.theirs.iter().filter(|told| told.seats > 0.0 && now < told.at + 10_000_000_000);
-        fresh.fold((0.0, 0.0), |(seats, work), told| {
-            let done = now.saturating_sub(told.at) as f64 * told.seats.min(self.seats);
-            // A job past its time has, as such sizes go, a part of it still to run.
-            (seats + told.seats, work + (told.work - done).max(0.1 * told.work))
-        })
+        let fresh = self.theirs.iter().filter(|told| now < told.at + 10_000_000_000);
+        let left = fresh.map(|told| told.left(now, self.seats));
+        left.fold((0.0, 0.0), |(a, b), (seats, work)| (a + seats, b + work))
     }
 }
 
@@ -454,6 +458,8 @@
     pub(crate) paces: Vec<(f64, f64)>,
     /// How rare jobs are here: 1 where the histogram holds 150 or more, up to 3.
     pub(crate) rare: f64,
+    /// The work of a mean job of late.
+    pub(crate) mean: f64,
     /// The start delay of late, over all workers.
     pub(crate) lag: f64,
     pub(crate) lag_at: Nanos,
