--- a/src/policy.rs
+++ b/src/policy.rs
@@ -355,11 +355,11 @@
 
     /// Into how many stretches so many workers are cut, for each dispatcher to keep to one of each. Eight, as long as four to
     /// twelve share a worker: fewer lanes are heard of more often, and by more the chance of who sends how much evens out.
-    /// Those who tell each other hear from however many share: ten.
+    /// Those who tell each other hear from however many share (ten lanes did as eight).
     fn stretches(&self, n: usize) -> usize {
         let each = n as f64 / self.dispatchers;
-        let (least, most) = if self.shares { (10.0, f64::INFINITY) } else { (8.0, SHARERS * each) };
-        (f64::max(least, 4.0 * each).min(most).ceil() as usize).min(n)
+        let most = if self.shares { f64::INFINITY } else { SHARERS * each };
+        (8.0_f64.max(4.0 * each).min(most).ceil() as usize).min(n)
     }
 
     /// Which workers each scheme's lanes are: one of each stretch of ids, by turns over the dispatchers.
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -916,7 +916,7 @@
 /// Guards against so few lanes that chance overloads them, where those who share them hear of each other.
 #[test_case(6 => 27; "four to a worker")]
 #[test_case(13 => 13; "four to a worker of more")]
-#[test_case(100 => 10; "ten lanes at least, however many share them")]
+#[test_case(100 => 8; "eight lanes at least, however many share them")]
 fn lanes_kept_with_sharing(dispatchers: u32) -> usize {
     sharing(dispatchers, 40).schemes[0].lanes.len()
 }
