Tell how a worker runs own jobs, overrunning ones too, and that it is silent

At fault: pace was learnt from ended jobs of one's own only. Now jobs that run past it count by their age (tally, blend), and a message carries the teller's own pace or silence in one byte more; each told pace counts as one job, for 10 s, and is not told on.

--- a/crates/wirehost/src/tests.rs
+++ b/crates/wirehost/src/tests.rs
@@ -70,7 +70,7 @@
 }
 
 /// A message from another version, or a spoilt one, must not end the adapter.
-#[test_case(&[3, 0, 9, 0, 10, 0, 0, 1, 9, 0, 4, 8, 0] => true; "ours")]
+#[test_case(&[3, 0, 10, 0, 10, 0, 0, 1, 9, 0, 4, 8, 0, 1] => true; "ours")]
 #[test_case(&[3, 0, 4, 0, 1, 2, 3, 4] => false; "of another length")]
 fn messages(bytes: &[u8]) -> bool {
     let incoming = translate::incoming(9, codec::Fields::new(bytes)).ok().unwrap();
--- a/crates/wirehost/src/translate.rs
+++ b/crates/wirehost/src/translate.rs
@@ -134,8 +134,8 @@
     Ok(Event::Probed(Probed { worker, outcome, report: report(f)? }))
 }
 
-/// What dispatchers tell each other: a worker, and half seats and work out at it.
-const SHARE: usize = 9;
+/// What dispatchers tell each other: a worker, half seats and work out at it, and how it runs.
+const SHARE: usize = 10;
 
 /// Anything of another length is not ours: from another version, it is passed over.
 fn shared(f: &mut Fields<'_>) -> Result<Option<Event>, Fault> {
@@ -143,7 +143,7 @@
     if usize::from(length) != SHARE {
         return Ok(None);
     }
-    let share = Share { worker: worker(f)?, halves: f.u8()?, work: f.u16()? };
+    let share = Share { worker: worker(f)?, halves: f.u8()?, work: f.u16()?, sign: f.u8()? };
     Ok(Some(Event::Shared { from, share }))
 }
 
@@ -170,10 +170,10 @@
         }
         Action::Reverse { txn } => reply.record(73, &[&txn.to_le_bytes()]),
         Action::Follow => reply.record(66, &[&[1]]),
-        Action::Tell { to, share: Share { worker, halves, work } } => {
+        Action::Tell { to, share: Share { worker, halves, work, sign } } => {
             let (to, length) = (to.to_le_bytes(), (SHARE as u16).to_le_bytes());
             let port = worker.port.to_le_bytes();
-            reply.record(71, &[&to, &length, &worker.addr, &port, &[*halves], &work.to_le_bytes()]);
+            reply.record(71, &[&to, &length, &worker.addr, &port, &[*halves], &work.to_le_bytes(), &[*sign]]);
         }
         Action::Timer { at, token } => reply.record(74, &[&at.to_le_bytes(), &token.to_le_bytes()]),
         Action::Say(text) => {
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -198,7 +198,13 @@
             Event::Probed(probed) => self.probed(now, probed, acts),
             Event::Shared { from, share } => {
                 if let Some(&at) = self.known.get(&share.worker) {
-                    self.workers[at].hear(now, from, share);
+                    let worker = &mut self.workers[at];
+                    worker.hear(now, from, share);
+                    worker.blend(now);
+                    // Guards against a hung worker that each dispatcher finds out with a txn of its own.
+                    if share.sign == Share::SILENT && worker.alive + 300_000_000 < now {
+                        worker.trust.add(now, Worker::HALF, 0.8);
+                    }
                 }
             }
             // This dispatcher ends: all in hand is answered by then, as at its expiry.
@@ -223,14 +229,15 @@
         }
         for at in 0..if self.shares { self.workers.len() } else { 0 } {
             if self.workers[at].out > 0.0 {
-                self.tell(now, at, acts);
+                self.tell(now, at, Share::UNKNOWN, acts);
             }
         }
         for w in &mut self.workers {
             // Until it has run a job, what its kind has shown.
             if let Some((mean, _)) = self.paces.get(usize::from(w.kind)).filter(|_| w.paced == 0.0) {
-                w.pace = *mean;
+                w.own_pace = *mean;
             }
+            w.blend(now);
             let limit = if w.logged { 0.1 } else { 0.5 };
             let doubted = |scheme: &usize| w.doubt(now, self.distrust, *scheme) > limit;
             let of: Vec<usize> = (0..w.of.len()).filter(doubted).collect();
@@ -243,18 +250,25 @@
 
     /// Tells the others what this dispatcher has out at a worker, whenever that changes and each second. Guards against
     /// what a partial view costs few dispatchers with large jobs: each takes for free what another has just filled.
-    fn tell(&mut self, now: Nanos, at: usize, acts: &mut Vec<Action>) {
+    fn tell(&mut self, now: Nanos, at: usize, sign: u8, acts: &mut Vec<Action>) {
         if self.shares {
             self.tally(now);
-            let worker = &self.workers[at];
+            let worker = &mut self.workers[at];
             let Worker { id, out, ahead, said, .. } = *worker;
             // As far as they would be wrong: they let go on by themselves what they were told.
             let off = (ahead - said.left(now, worker.seats).1).abs();
-            if off <= TELL_FROM * self.mean && (out == 0.0 || now < said.at + TELL_EVERY) {
+            if sign == Share::UNKNOWN
+                && off <= TELL_FROM * self.mean
+                && (out == 0.0 || now < said.at + TELL_EVERY)
+            {
                 return;
             }
-            self.workers[at].said = Told { from: 0, seats: out, work: ahead, at: now };
-            let share = Share { worker: id, halves: (2.0 * out).ceil() as u8, work: (ahead / 16e6) as u16 };
+            worker.said = Told { seats: out, work: ahead, at: now, ..said };
+            let (own, n) = worker.seen_pace();
+            let known = if n > 0.0 { Share::sign_of(own) } else { Share::UNKNOWN };
+            let sign = if sign == Share::SILENT { sign } else { known };
+            let share =
+                Share { worker: id, halves: (2.0 * out).ceil() as u8, work: (ahead / 16e6) as u16, sign };
             let (me, all) = (self.says("me") as usize, self.dispatchers as usize);
             let listed = self.schemes.iter().map(|scheme| &scheme.all);
             let Some((place, n)) =
@@ -670,7 +684,7 @@
         let run = if tells_start { ahead } else { 2.0 } * hand.run * worker.pace;
         let overdue = now + (cost.min(2.0 * SECOND) * 1.5 + run + 0.3 * SECOND) as Nanos;
         acts.push(Action::Timer { at: overdue, token });
-        self.tell(now, at, acts);
+        self.tell(now, at, Share::UNKNOWN, acts);
     }
 
     fn started(&mut self, now: Nanos, txn: TxnId, leg: u8, acts: &mut Vec<Action>) {
@@ -726,6 +740,9 @@
         if silent {
             worker.silent.get_or_insert(Silence { posting, scheme, since: now, tried: now });
         }
+        if silent {
+            self.tell(now, posting.worker, Share::SILENT, acts);
+        }
         let age = now - posting.started.unwrap_or(posting.at);
         acts.push(Action::Timer { at: now + age.max(300_000_000), token });
     }
@@ -759,7 +776,6 @@
         let Ended { txn, leg, outcome, complete, report } = end;
         let Some((key, posting)) = self.posting(txn, leg) else { return };
         self.txns[key].legs[usize::from(leg)].out = false;
-        self.tell(now, posting.worker, acts);
         self.read_report(now, posting.worker, report);
         if matches!(outcome, Outcome::Settled | Outcome::Error) {
             self.judge(now, key, usize::from(leg), outcome == Outcome::Error);
@@ -769,6 +785,7 @@
         self.txns[key].legs[usize::from(leg)].failed = outcome == Outcome::Error;
         let scheme = usize::from(scheme);
         let warm = self.warmth(&self.workers[posting.worker], now) >= 1.0;
+        let mut sign = Share::UNKNOWN;
         let worker = &mut self.workers[posting.worker];
         if outcome == Outcome::NoConnection {
             worker.refused(now);
@@ -786,7 +803,11 @@
                     let pace = ((now - from) as f64 / run).clamp(0.2, 10.0);
                     // A cold one is slow for another reason, and not for long: a tenth, and its kind is not told.
                     worker.paced = if warm { (worker.paced + 1.0).min(9.0) } else { 9.0 };
-                    worker.pace += (pace - worker.pace) / (worker.paced + 1.0);
+                    if pace > 2.0 * worker.pace {
+                        sign = Share::sign_of(pace);
+                    }
+                    worker.own_pace += (pace - worker.own_pace) / (worker.paced + 1.0);
+                    worker.blend(now);
                     if warm {
                         let kind = usize::from(worker.kind);
                         self.paces.resize(self.paces.len().max(kind + 1), (1.0, 0.0));
@@ -807,6 +828,7 @@
             Outcome::NoConnection | Outcome::Broken => worker.blame(now, &posting, scheme, 0.6),
             Outcome::Full | Outcome::Unfit | Outcome::Withdrawn | Outcome::Moot => {}
         }
+        self.tell(now, posting.worker, sign, acts);
         if outcome == Outcome::NoConnection {
             self.keep_to(now);
         }
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -675,7 +675,7 @@
     if let Some((halves, work)) = told {
         // What is told twice by one counts once; of a worker that is not known, not at all.
         for worker in [mine, mine, id(99)] {
-            let share = Share { worker, halves, work };
+            let share = Share { worker, halves, work, sign: Share::UNKNOWN };
             handle(&mut d, 950 * MS, Event::Shared { from: 1, share });
         }
     }
@@ -688,6 +688,32 @@
     Event::Ended(Ended { txn, leg: 0, outcome, complete: true, report })
 }
 
+/// Guards against a slow or hung worker that each dispatcher finds out with txns of its own.
+#[test_case(Share::UNKNOWN => (100, 0); "nothing known")]
+#[test_case(Share::sign_of(4.0) => (250, 0); "as one job more")]
+#[test_case(Share::SILENT => (100, 80); "as its own silence")]
+fn what_others_met_at_a_worker_counts(sign: u8) -> (i64, i64) {
+    let mut d = sharing(3, 2);
+    let share = Share { worker: id(0), halves: 2, work: 10, sign };
+    handle(&mut d, 900 * MS, Event::Shared { from: 1, share });
+    let worker = &d.workers[0];
+    ((worker.pace * 100.0) as i64, (worker.trust.distrust * 100.0).round() as i64)
+}
+
+/// Guards against a slow worker taken for well until its first job has ended.
+#[test_case(250 => 100; "within the usual")]
+#[test_case(400 => 250; "overrunning")]
+fn jobs_that_still_run_tell_the_pace(age: Nanos) -> i64 {
+    let mut d = sharing(3, 1);
+    d.workers[0].own_pace = 1.0;
+    drop(handle(&mut d, MS, Event::Arrived(txn(1, 2, 100 * MS, 0))));
+    d.txns[0].run = if age == 250 { 250e6 } else { 100e6 };
+    handle(&mut d, MS, Event::Started { txn: 1, leg: 0 });
+    d.tally((age + 1) * MS);
+    d.workers[0].blend((age + 1) * MS);
+    (d.workers[0].pace * 100.0).round() as i64
+}
+
 /// Guards against messages that tell the others only what they take for so by themselves.
 #[test_case(3, 20 => vec![2, 2, 0, 0]; "an end that none expects")]
 #[test_case(3, 100 => vec![2, 2]; "an end at its time")]
--- a/src/state.rs
+++ b/src/state.rs
@@ -181,6 +181,8 @@
     pub from: u16,
     pub seats: f64,
     pub work: f64,
+    /// The pace at which it runs that dispatcher's jobs, if known.
+    pub pace: Option<f64>,
     pub at: Nanos,
 }
 
@@ -215,6 +217,9 @@
     /// Running time for one unit of hinted work, and how many jobs tell it, up to ten.
     pub pace: f64,
     pub paced: f64,
+    /// The pace by this dispatcher's own jobs alone, and what those that run longer than that show by now: the sum and how many.
+    pub own_pace: f64,
+    pub over: (f64, f64),
     pub trust: Trust,
     /// What each scheme alone has met.
     pub of: Vec<Trust>,
@@ -253,7 +258,7 @@
     /// One just heard of: two seats, and the pace of the hints.
     pub fn new(id: WorkerId, started: Nanos, schemes: usize) -> Self {
         let of = vec![Trust::default(); schemes];
-        Worker { id, started, of, seats: 2.0, pace: 1.0, ..Worker::default() }
+        Worker { id, started, of, seats: 2.0, pace: 1.0, own_pace: 1.0, ..Worker::default() }
     }
 
     /// Whether it is served first come first served and has started what was posted later: by more than
@@ -272,18 +277,42 @@
 
     /// Keeps what another dispatcher told; only the newest of each counts.
     pub fn hear(&mut self, now: Nanos, from: u16, share: Share) {
-        let told =
-            Told { from, seats: f64::from(share.halves) / 2.0, work: f64::from(share.work) * 16e6, at: now };
+        let Share { halves, work, .. } = share;
+        let (seats, work, pace) = (f64::from(halves) / 2.0, f64::from(work) * 16e6, share.pace());
+        let told = Told { from, seats, work, pace, at: now };
         match self.theirs.iter_mut().find(|told| told.from == from) {
             Some(known) => *known = told,
             None => self.theirs.push(told),
         }
     }
 
-    /// Seats and work that others have told of, as long as they are told again.
+    /// Its pace by own jobs, one told by another counting as one of them.
+    pub fn blend(&mut self, now: Nanos) {
+        let told = self.fresh(now).filter_map(|told| told.pace);
+        let (sum, count) = told.fold((0.0, 0.0), |(sum, count), pace| (sum + pace, count + 1.0));
+        let (pace, own) = self.seen_pace();
+        let own = own.max(1.0);
+        self.pace = (own * pace + sum) / (own + count);
+    }
+
+    /// Its pace by this dispatcher's own jobs, ended and overrunning, and how many they are.
+    pub fn seen_pace(&self) -> (f64, f64) {
+        let (sum, count) = self.over;
+        if count == 0.0 {
+            return (self.own_pace, self.paced);
+        }
+        let ended = self.paced.max(1.0);
+        ((ended * self.own_pace + sum) / (ended + count), ended + count)
+    }
+
+    /// What others have told, as long as it is told again.
+    fn fresh(&self, now: Nanos) -> impl Iterator<Item = &Told> {
+        self.theirs.iter().filter(move |told| now < told.at + 10_000_000_000)
+    }
+
+    /// Seats and work that others have told of.
     pub fn told(&self, now: Nanos) -> (f64, f64) {
-        let fresh = self.theirs.iter().filter(|told| now < told.at + 10_000_000_000);
-        let left = fresh.map(|told| told.left(now, self.seats));
+        let left = self.fresh(now).map(|told| told.left(now, self.seats));
         left.fold((0.0, 0.0), |(a, b), (seats, work)| (a + seats, b + work))
     }
 }
@@ -513,7 +542,7 @@
     pub(crate) fn tally(&mut self, now: Nanos) {
         for at in self.touched.drain(..) {
             let worker = &mut self.workers[at];
-            (worker.out, worker.running, worker.ahead) = (0.0, 0.0, 0.0);
+            (worker.out, worker.running, worker.ahead, worker.over) = (0.0, 0.0, 0.0, (0.0, 0.0));
         }
         for (_, hand) in &self.txns {
             for posting in hand.legs[..hand.posted].iter().filter(|posting| posting.out) {
@@ -528,6 +557,10 @@
                 // A job past its hint has, as such sizes go, about a third of its age still to run.
                 worker.ahead += hand.need * (hand.run * worker.pace - age).max(0.3 * age);
                 if let Some(started) = posting.started {
+                    let over = (age / hand.run.max(1e6)).min(10.0);
+                    if over > worker.own_pace {
+                        worker.over = (worker.over.0 + over, worker.over.1 + 1.0);
+                    }
                     // What an earlier process ran is lost. Guards against taking its jobs for more seats.
                     let lives = started >= worker.started;
                     worker.running += if lives { f64::from(hand.txn.slots) } else { 0.0 };
--- a/src/types.rs
+++ b/src/types.rs
@@ -97,6 +97,21 @@
     pub halves: u8,
     /// In units of 16 ms.
     pub work: u16,
+    /// How it runs the teller's own jobs: `Share::UNKNOWN`, `Share::SILENT`, else its pace in 32nds of an octave around 128.
+    pub sign: u8,
+}
+
+impl Share {
+    pub const UNKNOWN: u8 = 0;
+    pub const SILENT: u8 = 1;
+
+    pub fn sign_of(pace: f64) -> u8 {
+        (128.0 + 32.0 * pace.log2()).clamp(2.0, 255.0) as u8
+    }
+
+    pub fn pace(&self) -> Option<f64> {
+        (self.sign > Share::SILENT).then(|| ((f64::from(self.sign) - 128.0) / 32.0).exp2())
+    }
 }
 
 /// The answer to a probe.
