--- a/src/policy.rs
+++ b/src/policy.rs
@@ -11,9 +11,9 @@
 use crate::state::Effect::{OnceOnly, Referenced, Repeatable};
 use crate::state::Stage::{Again, Answered, Doubted, Held, Out};
 use crate::state::{BINS, Bins, SECOND, below, fade};
-use crate::state::{Effect, InHand, Input, Map, Posting, SORTS, Silence, Sort, Stage, Step};
+use crate::state::{Effect, InHand, Input, Map, Posting, Silence, Stage, Step};
 use crate::state::{Told, Trust, Worker};
-use crate::types::{Action, Ended, Event, Listed, Nanos, Outcome, Probed, Report, Scope, Share, Standing};
+use crate::types::{Action, Ended, Event, Listed, Nanos, Outcome, Report, Scope, Share, Standing};
 use crate::types::{Txn, TxnId};
 
 #[cfg(test)]
@@ -109,28 +109,13 @@
 impl Worker {
     /// Distrust halves in 5 s: several times the time between postings to one worker at low traffic.
     const HALF: f64 = 5.0 * SECOND;
-    /// That of one scheme in three times as long: to try again costs a txn its whole time.
-    const HALF_OF: f64 = 3.0 * Worker::HALF;
-
-    /// Distrust above the fleet's mean: when all look bad at once, no one is worse than another. And what a
-    /// scheme alone has met here.
-    fn doubt(&self, now: Nanos, mean: f64, scheme: usize) -> f64 {
+    /// Distrust above the fleet's mean: when all look bad at once, no one is worse than another. Or what errors of the
+    /// scheme left, for which starts do not make up; of any, for what cannot be posted again. Guards against a worker
+    /// that starts all and fails most, or one scheme.
+    fn doubt(&self, now: Nanos, mean: f64, scheme: usize, effect: Effect) -> f64 {
         let all = (self.trust.now(now, Worker::HALF) - mean).clamp(0.0, 0.95);
-        let of = |at: usize| self.of[at].now(now, Worker::HALF_OF);
-        // Where a second one fails too, so may any.
-        let top = (0..self.of.len()).map(of).fold((0.0, 0.0), |(first, second), d| {
-            if d > first { (d, first) } else { (first, f64::max(d, second)) }
-        });
-        all.max(of(scheme)).max(top.1)
-    }
-
-    /// Guards against a worker that fails one scheme and is well otherwise: only that scheme stays away.
-    fn blame(&mut self, now: Nanos, posting: &Posting, scheme: usize, by: f64) {
-        if self.passed(posting) {
-            self.of[scheme].add(now, Worker::HALF_OF, 0.9);
-        } else {
-            self.trust.add(now, Worker::HALF, by);
-        }
+        let of = self.of.iter().enumerate().filter(|(at, _)| *at == scheme || effect == OnceOnly);
+        of.map(|(_, trust)| trust.now(now, 3.0 * Worker::HALF)).fold(all, f64::max)
     }
 
     /// It took no connection: for 1 s, and twice as long each time that it does so again, it has no lane.
@@ -195,7 +180,7 @@
             Event::Started { txn, leg } => self.started(now, txn, leg, acts),
             Event::StreamBegun { txn } | Event::Lapsed { txn } => self.input(now, txn, Input::Left, acts),
             Event::Ended(end) => self.ended(now, end, acts),
-            Event::Probed(probed) => self.probed(now, probed, acts),
+            Event::Probed(_) => {} // none is asked for
             Event::Shared { from, share } => {
                 if let Some(&at) = self.known.get(&share.worker) {
                     let worker = &mut self.workers[at];
@@ -239,11 +224,14 @@
             }
             w.blend(now);
             let limit = if w.logged { 0.1 } else { 0.5 };
-            let doubted = |scheme: &usize| w.doubt(now, self.distrust, *scheme) > limit;
-            let of: Vec<usize> = (0..w.of.len()).filter(doubted).collect();
-            if w.logged == of.is_empty() {
-                w.logged = !w.logged;
-                acts.push(Action::Say(format!("worker {}: distrusted with schemes {of:?}", w.id)));
+            let doubted = w.doubt(now, self.distrust, 0, OnceOnly) > limit;
+            if w.logged != doubted {
+                w.logged = doubted;
+                acts.push(Action::Say(format!(
+                    "worker {}: {}trusted",
+                    w.id,
+                    if doubted { "dis" } else { "" }
+                )));
             }
         }
     }
@@ -339,10 +327,10 @@
             if entry.started != worker.started {
                 // A new process: what was held against the old one is void, and it starts cold.
                 (worker.trust, worker.silent, worker.lag) = Default::default();
+                worker.of.fill(Trust::default());
                 // What went to it before its start was told of counts too. Guards against a fresh budget on top of that.
                 worker.spent = self.txns.iter().flat_map(|(_, hand)| hand.sent(at, entry.started)).collect();
                 (worker.refusals, worker.refused_till) = (0, 0);
-                worker.of.fill(Trust::default());
                 worker.started = entry.started;
             }
             (worker.standing, worker.zone, worker.kind) = (entry.standing, entry.zone, entry.kind);
@@ -448,13 +436,14 @@
         for scheme in self.schemes.iter().filter(|scheme| scheme.kind == self.schemes[at].kind) {
             whole.iter_mut().zip(&scheme.bins).for_each(|(sum, work)| *sum += work);
         }
+        let effect = self.schemes[at].effect;
         let mut targets = std::mem::take(&mut self.targets);
         targets.clear();
         targets.extend(shifts(self.schemes[at].lanes.len(), r).zip(&self.schemes[at].lanes).map(|(p, w)| {
             let (worker, warmth) = (&self.workers[*w], self.warmth(&self.workers[*w], now));
             // One that is sent to by turns has the whole of its part in its turn.
             let part = if warmth < 1.0 { warmth * self.turn(worker, now).1 } else { 1.0 };
-            (1.0 + p) * worker.size * (1.0 - worker.doubt(now, self.distrust, at)) * part
+            (1.0 + p) * worker.size * (1.0 - worker.doubt(now, self.distrust, at, effect)) * part
         }));
         let scheme = &mut self.schemes[at];
         let shift = if lone { 0.0 } else { [low, high][usize::from(scheme.high)] };
@@ -475,45 +464,6 @@
         lane.min(scheme.lanes.len().saturating_sub(1))
     }
 
-    /// Probes the lane's worker and its id neighbours, where it was not heard of for a second.
-    fn ask(&mut self, now: Nanos, key: usize, lane: usize, acts: &mut Vec<Action>) -> bool {
-        // Without reports a probe says too little for its work.
-        let useful = self.says("probe.allowed") > 0.0 && self.report_at != [None; 2];
-        if !useful || std::mem::replace(&mut self.txns[key].asked, true) {
-            return false;
-        }
-        let hand = &self.txns[key];
-        let txn = hand.txn;
-        let lanes = &self.schemes[usize::from(txn.scheme)].lanes;
-        let unheard = |at: &usize| now - self.workers[*at].alive > SECOND as Nanos;
-        if !lanes.get(lane).is_some_and(unheard) {
-            return false;
-        }
-        for &at in lanes[lane.saturating_sub(1)..lanes.len().min(lane + 2)].iter().filter(|at| unheard(at)) {
-            acts.push(Action::Probe { worker: self.workers[at].id });
-            self.asked.push((at, txn.id, now));
-        }
-        let limit = hand.room(now, 1.0).max(0.0) / 20.0;
-        acts.push(Action::Timer { at: now + limit as Nanos, token: token(txn.id, 0) });
-        true
-    }
-
-    fn probed(&mut self, now: Nanos, Probed { worker, outcome, report }: Probed, acts: &mut Vec<Action>) {
-        let here = |asked: &(usize, TxnId, Nanos)| self.workers[asked.0].id == worker;
-        let Some(place) = self.asked.iter().position(here) else { return };
-        let (at, txn, _) = self.asked.swap_remove(place);
-        match outcome {
-            Outcome::Settled => self.workers[at].heard(now, 0.1),
-            Outcome::Full | Outcome::Withdrawn | Outcome::Moot => {}
-            _ => self.workers[at].trust.add(now, Worker::HALF, 0.5),
-        }
-        self.read_report(now, at, report);
-        let Some(&key) = self.held.get(&txn) else { return };
-        if self.txns[key].stage == Held && self.asked.iter().all(|asked| asked.1 != txn) {
-            self.place(now, key, acts);
-        }
-    }
-
     /// The worker for a txn, and how long it would wait there: its lane's, or the nearest id neighbour
     /// that can start it soon enough; failing that, the one with the least to wait.
     fn choose(&mut self, now: Nanos, key: usize, mine: usize) -> Option<(usize, f64, f64)> {
@@ -560,11 +510,7 @@
             // One's part of the seats, which a job as large may have alone; what others have told of leaves the rest.
             let (sharing, all) = (if self.shares { 1.0 } else { self.dispatchers }, worker.seats.round());
             let (part, told) = ((all / sharing).max(1.0), worker.told(now).0);
-            // What failed with one scheme may fail with the next: that alone keeps away what cannot be posted again.
-            let of = |scheme: &Trust| scheme.now(now, Worker::HALF_OF);
-            let own = of(&worker.of[usize::from(txn.scheme)]);
-            let failing = if effect == OnceOnly { worker.of.iter().map(of).fold(0.0, f64::max) } else { own };
-            let doubt = worker.doubt(now, self.distrust, usize::from(txn.scheme)).max(failing);
+            let doubt = worker.doubt(now, self.distrust, usize::from(txn.scheme), effect);
             let cold = self.warmth(worker, now) < 1.0;
             if cold && self.budget(worker, now) < work && !is(Fault::ColdIgnored) {
                 continue;
@@ -580,10 +526,9 @@
                 return Some((at, wait, strain));
             }
             // Own jobs in flight, and their work, weigh again: what others see and do is alike. A job that fails
-            // loses all, one that waits out its room a part: doubt weighs twice. And it failed there before.
+            // loses all, one that waits out its room a part. And it failed there before.
             let failed = hand.legs[..hand.posted].iter().any(|posting| posting.worker == at);
-            let cost =
-                strain + (worker.ahead / room + worker.out) / worker.seats + doubt + own + f64::from(failed);
+            let cost = strain + (worker.ahead / room + worker.out) / worker.seats + doubt + f64::from(failed);
             if cost < least {
                 // Turned away is by the queue: that a worker is slow shortens its room, but is no overload, and counts only
                 // as far as starts are late.
@@ -621,16 +566,11 @@
     }
 
     fn place(&mut self, now: Nanos, key: usize, acts: &mut Vec<Action>) {
-        let InHand { txn: Txn { id, expiry, party, .. }, due, run, posted, legs, .. } = self.txns[key];
-        // Where errors are mostly the txns' own, one posting each is enough.
-        let own = legs.iter().any(|posting| posting.failed) && self.sort(party).own(now) > 0.6;
-        if posted >= self.most_postings || now >= expiry || own {
+        let InHand { txn: Txn { id, expiry, .. }, due, run, posted, .. } = self.txns[key];
+        if posted >= self.most_postings || now >= expiry {
             return self.input(now, id, Input::GivenUp, acts);
         }
         let lane = self.lane(now, key);
-        if self.ask(now, key, lane, acts) {
-            return;
-        }
         match self.choose(now, key, lane) {
             Some((at, cost, strain)) if posted > 0 || self.kept(now, key, strain) => {
                 self.post(now, key, at, cost, acts);
@@ -668,11 +608,8 @@
             worker.spent.push_back((now, hand.work));
         }
         worker.silent.iter_mut().for_each(|silence| silence.tried = now);
-        let promised =
-            now < worker.others_at + BEAT_EVERY && worker.out + worker.others + hand.need <= worker.seats;
         let expected = worker.queue(hand.need, worker.told(now));
-        hand.legs[hand.posted] =
-            Posting { worker: at, at: now, expected, started: None, out: true, failed: false, promised };
+        hand.legs[hand.posted] = Posting { worker: at, at: now, expected, started: None, out: true };
         let token = token(hand.txn.id, hand.posted);
         hand.posted += 1;
         hand.stage = next(hand.stage, Input::Posted, hand.effect).0;
@@ -694,17 +631,11 @@
         let worker = &mut self.workers[posting.worker];
         worker.heard(now, 0.1);
         worker.reached = worker.reached.max(if self.first_come { posting.at } else { 0 });
-        if let Some(silence) = worker.silent.take() {
+        if worker.silent.take().is_some() {
             worker.trust = Trust::default();
-            worker.blame(now, &silence.posting, silence.scheme, 0.0);
         }
         (worker.lag, worker.lag_at) = (posting.delay(now), now);
         let hand = &self.txns[key];
-        if posting.promised {
-            // A start later than half a run belies the report of a free seat; one may be just out of date.
-            let by = if worker.lag > 0.5 * hand.run * worker.pace { 0.5 } else { -0.1 };
-            worker.belied.add(now, 2.0 * Worker::HALF, by);
-        }
         // The fleet's delay, in rooms of the txn (past 1.5 none is sent), is the mean of some ten starts.
         let delay = (worker.lag / hand.room(posting.at, worker.pace).max(0.25 * hand.run)).min(1.5);
         (self.lag, self.lag_at) = (self.lag + 0.1 * (delay - self.lag), now);
@@ -723,22 +654,16 @@
         let Some(&key) = self.held.get(&txn) else { return };
         let hand = &self.txns[key];
         if matches!(hand.stage, Held | Doubted) && leg == hand.posted {
-            // A probe without its answer yet: whoever it went to is busy or worse.
-            for (at, _, since) in self.asked.iter().filter(|asked| asked.1 == txn) {
-                let worker = &mut self.workers[*at];
-                (worker.lag, worker.lag_at) = (worker.lag.max((now - since) as f64), now);
-            }
             return self.place(now, key, acts);
         }
         let Some((_, posting)) = self.posting(txn, leg as u8) else { return };
-        let scheme = usize::from(hand.txn.scheme);
         let worker = &mut self.workers[posting.worker];
         // A worker that has shown life since is only busy; one that has not may be hung.
         let silent = posting.started.is_none() && worker.alive < posting.at;
         let by = if silent { 0.8 } else { f64::from(posting.started.is_some()) * 0.15 };
-        worker.blame(now, &posting, scheme, by);
+        worker.trust.add(now, Worker::HALF, by);
         if silent {
-            worker.silent.get_or_insert(Silence { posting, scheme, since: now, tried: now });
+            worker.silent.get_or_insert(Silence { since: now, tried: now });
         }
         if silent {
             self.tell(now, posting.worker, Share::SILENT, acts);
@@ -747,42 +672,12 @@
         acts.push(Action::Timer { at: now + age.max(300_000_000), token });
     }
 
-    fn sort(&mut self, party: u16) -> &mut Sort {
-        &mut self.sorts[usize::from(party) % SORTS]
-    }
-
-    /// A txn that has failed at one worker and is settled, or fails, at another tells whose fault it was.
-    /// Guards against txns that fail wherever they go (spoilt, unknown, of one party or of all): they would be paid for
-    /// again and again, and every worker would look bad. Holds against any error that follows the txn, not the worker.
-    /// Hurts where most workers fail at once: then a txn that one of the others would settle is given up.
-    fn judge(&mut self, now: Nanos, key: usize, leg: usize, failed: bool) {
-        let InHand { txn: Txn { party, scheme, .. }, legs, posted, .. } = self.txns[key];
-        let here = legs[leg].worker;
-        let doubt = self.workers[here].doubt(now, self.distrust, usize::from(scheme));
-        let before = legs[..posted].iter().filter(|posting| posting.failed && posting.worker != here);
-        let Some(before) = before.map(|posting| posting.worker).next_back() else { return };
-        if failed {
-            self.sort(party).add(now, 1.0 - doubt, 0.0);
-            // The worker before was not to blame.
-            let worker = &mut self.workers[before];
-            worker.trust.add(now, Worker::HALF, -0.5);
-            worker.of[usize::from(scheme)].add(now, Worker::HALF_OF, -0.5);
-        } else {
-            self.sort(party).add(now, 0.0, 1.0);
-        }
-    }
-
     fn ended(&mut self, now: Nanos, end: Ended, acts: &mut Vec<Action>) {
         let Ended { txn, leg, outcome, complete, report } = end;
         let Some((key, posting)) = self.posting(txn, leg) else { return };
         self.txns[key].legs[usize::from(leg)].out = false;
         self.read_report(now, posting.worker, report);
-        if matches!(outcome, Outcome::Settled | Outcome::Error) {
-            self.judge(now, key, usize::from(leg), outcome == Outcome::Error);
-        }
-        let InHand { run, due, txn: Txn { scheme, party, .. }, .. } = self.txns[key];
-        let workers = 1.0 - self.sort(party).own(now);
-        self.txns[key].legs[usize::from(leg)].failed = outcome == Outcome::Error;
+        let InHand { run, due, txn: Txn { scheme, .. }, .. } = self.txns[key];
         let scheme = usize::from(scheme);
         let warm = self.warmth(&self.workers[posting.worker], now) >= 1.0;
         let mut sign = Share::UNKNOWN;
@@ -817,15 +712,14 @@
                     }
                 }
                 worker.heard(now, 0.2);
-                worker.of[scheme].add(now, Worker::HALF_OF, -0.2);
+                worker.of[scheme].add(now, 3.0 * Worker::HALF, -0.2);
             }
             Outcome::Error => {
-                // Starts do not make up for it. Guards against a worker that starts all and fails most.
-                worker.of[scheme].add(now, Worker::HALF_OF, 0.3 * workers);
-                worker.blame(now, &posting, scheme, 0.5 * workers);
+                worker.trust.add(now, Worker::HALF, 0.5);
+                worker.of[scheme].add(now, 3.0 * Worker::HALF, 0.3);
             }
-            Outcome::TimeOut => worker.blame(now, &posting, scheme, 0.5),
-            Outcome::NoConnection | Outcome::Broken => worker.blame(now, &posting, scheme, 0.6),
+            Outcome::TimeOut => worker.trust.add(now, Worker::HALF, 0.5),
+            Outcome::NoConnection | Outcome::Broken => worker.trust.add(now, Worker::HALF, 0.6),
             Outcome::Full | Outcome::Unfit | Outcome::Withdrawn | Outcome::Moot => {}
         }
         self.tell(now, posting.worker, sign, acts);
@@ -860,17 +754,12 @@
         self.tally(now);
         // Free slots come with noise, of which the most seen would be the worst: a fifth of the way each.
         let (kind, seats) = (self.workers[at].kind, self.workers[at].seats);
-        let belied = self.workers[at].belied.now(now, 2.0 * Worker::HALF);
         if let Some(free) = free.filter(|free| *free > seats + 0.25) {
-            self.seats(kind, seats + 0.2 * (1.0 - belied) * (free - seats));
+            self.seats(kind, seats + 0.2 * (free - seats));
         }
         let worker = &mut self.workers[at];
         let by_slots = free.map(|free| worker.seats - free - worker.running);
         worker.others = inflight.map(|all| all - worker.out).or(by_slots).unwrap_or(0.0).max(0.0);
-        // A worker whose reports its starts belie is taken for one like the others. Guards against reports of no load, of
-        // an old one, or of full seats, and against ones older than a job runs. Hurts one that is really idle for long:
-        // it gets no more than its part until starts have borne it out.
-        worker.others += belied * (self.others - worker.others);
         // Reports are late: a lone dispatcher would take its own newest jobs for others'.
         worker.others *= if self.shares { 0.0 } else { self.unseen };
         worker.others_at = now;
--- a/src/state.rs
+++ b/src/state.rs
@@ -74,10 +74,6 @@
     pub expected: f64,
     pub started: Option<Nanos>,
     pub out: bool,
-    /// Whether it ended in an error.
-    pub failed: bool,
-    /// Whether a report promised a free seat when it was sent.
-    pub promised: bool,
 }
 
 /// Postings kept for one txn; where more are allowed, no more than these are made.
@@ -96,8 +92,6 @@
     pub due: Nanos,
     pub legs: [Posting; LEGS],
     pub posted: usize,
-    /// Whether its lane was probed.
-    pub asked: bool,
     /// The first posting that may have run: its worker and when it was sent.
     pub doubt: Option<(usize, Nanos)>,
 }
@@ -105,19 +99,7 @@
 impl InHand {
     pub fn new(txn: Txn, effect: Effect, work: f64, run: f64, need: f64, due: Nanos) -> Self {
         let legs = [Posting::default(); LEGS];
-        InHand {
-            txn,
-            effect,
-            stage: Stage::Held,
-            work,
-            run,
-            need,
-            due,
-            legs,
-            posted: 0,
-            asked: false,
-            doubt: None,
-        }
+        InHand { txn, effect, stage: Stage::Held, work, run, need, due, legs, posted: 0, doubt: None }
     }
 
     /// When and with what work it was posted to a worker, from a moment on.
@@ -153,28 +135,6 @@
     }
 }
 
-/// Of the txns of one party that ended in an error and were posted again, how many failed at another worker too, and how
-/// many were settled; both halve in 10 s.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Sort {
-    pub failed: f64,
-    pub settled: f64,
-    pub at: Nanos,
-}
-
-impl Sort {
-    pub fn add(&mut self, now: Nanos, failed: f64, settled: f64) {
-        let keep = fade(1.0, self.at, now, 10.0 * SECOND);
-        *self = Sort { failed: self.failed * keep + failed, settled: self.settled * keep + settled, at: now };
-    }
-
-    /// The part of errors that are the txn's own; none until seen.
-    pub fn own(&self, now: Nanos) -> f64 {
-        let keep = fade(1.0, self.at, now, 10.0 * SECOND);
-        keep * self.failed / (keep * (self.failed + self.settled) + 1.0)
-    }
-}
-
 /// What another dispatcher told that it has out at a worker, and when it did.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Told {
@@ -194,11 +154,9 @@
     }
 }
 
-/// The posting and its scheme, when it was noticed, and when a job last went to try the worker.
+/// When a silence was noticed, and when a job last went to try the worker.
 #[derive(Clone, Copy, Debug)]
 pub struct Silence {
-    pub posting: Posting,
-    pub scheme: usize,
     pub since: Nanos,
     pub tried: Nanos,
 }
@@ -221,7 +179,7 @@
     pub own_pace: f64,
     pub over: (f64, f64),
     pub trust: Trust,
-    /// What each scheme alone has met.
+    /// What errors of each scheme left.
     pub of: Vec<Trust>,
     /// Silent since a posting that should have started.
     pub silent: Option<Silence>,
@@ -235,8 +193,6 @@
     /// Slots that others hold by its last report.
     pub others: f64,
     pub others_at: Nanos,
-    /// How far its reports of a free seat were belied by starts.
-    pub belied: Trust,
     /// What the others were last told of it.
     pub said: Told,
     /// What other dispatchers told of it, one line each.
@@ -450,8 +406,6 @@
     }
 }
 
-pub const SORTS: usize = 32;
-
 /// One submitter's dispatcher; how to call it stands in `policy`.
 #[derive(Default)]
 pub struct Dispatcher {
@@ -460,8 +414,6 @@
     pub(crate) workers: Vec<Worker>,
     pub(crate) known: FxHashMap<WorkerId, usize>,
     pub(crate) txns: Slab<InHand>,
-    /// By party; some share one where there are many.
-    pub(crate) sorts: [Sort; SORTS],
     pub(crate) held: FxHashMap<TxnId, usize>,
     pub(crate) gaps: [Gaps; 2],
     /// Where a report has its free slots and its jobs in flight.
@@ -499,15 +451,13 @@
     /// The mean distrust, and the least capacity for a unit of listed size, as of the last beat.
     pub(crate) distrust: f64,
     pub(crate) unit: f64,
-    /// Probes out: the worker, the txn and when.
-    pub(crate) asked: Vec<(usize, TxnId, Nanos)>,
     /// Workers with postings of this dispatcher out, and room for the lanes' parts: kept to save allocations.
     pub(crate) touched: Vec<usize>,
     pub(crate) targets: Vec<f64>,
 }
 
 /// The settings without which nothing can be decided; a missing one ends the start.
-const FIGURES: &str = "me come_back.allowed come_back.most probe.allowed tells_start \
+const FIGURES: &str = "me come_back.allowed come_back.most tells_start \
     cold.from cold.time fall.multiple fall.window";
 
 impl Dispatcher {
