A cold worker's turns are for all who keep to it, where more than twelve do

Found by reading, while writing down what is taken for granted: turn() counts twelve parts of the dispatchers, as no more than twelve shared a worker; since those who tell each other keep to eight workers however many share, up to 31 would spend a budget meant for twelve.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -407,7 +407,7 @@
         // Half of what is allowed: a third may come from those who have not heard of its start, the rest is for
         // work beyond its hint.
         let most = 0.5 * self.says("fall.multiple") * self.unit * worker.size * warmth * window;
-        let turns = SHARERS.min(self.dispatchers);
+        let turns = if self.shares { self.sharers.ceil() } else { SHARERS }.min(self.dispatchers);
         // Two have a turn at once, and more as it warms, as one has few txns in a window; the part of each stays what it
         // is at the start. All count alike, by what the list and the settings tell.
         let at_once = (2.0 * warmth / self.says("cold.from").max(0.01)).floor().clamp(1.0, turns);
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -853,3 +853,24 @@
     d.survey(MS);
     assert_eq!((unseen, d.unit * 3.0), (1.0, 1.0));
 }
+
+/// Guards against a budget counted for twelve that many more keep to, where each keeps to eight workers however many share.
+#[test_case(false; "those who do not tell each other")]
+#[test_case(true; "those who do")]
+fn a_cold_workers_budget_is_kept_by_all_who_share_it(shares: bool) {
+    let started = 50_000 * MS;
+    for at in (0..60).map(|part| started + part * 500 * MS) {
+        let mut sum = 0.0;
+        for me in 0..130 {
+            let mut d = if shares { sharing(130, 34) } else { among(130, 0, warm(34)) };
+            d.figures.insert("me", f64::from(me));
+            d.keep_to(at);
+            d.workers[9].started = started;
+            d.survey(at);
+            let keeps = d.schemes[0].lanes.contains(&9);
+            sum += if keeps { d.budget(&d.workers[9], at).max(0.0) } else { 0.0 };
+        }
+        let warmth = 0.2 + 0.8 * (at - started).min(10_000 * MS) as f64 / 10e9;
+        assert!(warmth >= 1.0 || sum <= 3.0 * 2.0 * warmth * SECOND, "{sum} at {at}");
+    }
+}
