The program carries what dispatchers tell each other; a mixed fleet is tested

Datagrams of 15 bytes, read by a machine without I/O (crates/wire talk.rs): short, long, foreign, of another version, from an unknown number or another address than the number's are dropped and counted; 5,000 a second each way at most. Addresses come from the file (talk), off when absent; then the settings' leave is withdrawn with a line, so that no action is swallowed.

--- a/crates/drive/src/ground.rs
+++ b/crates/drive/src/ground.rs
@@ -37,8 +37,17 @@
     fn accept(&self) -> io::Result<Self::Stream>;
 }
 
+/// Where datagrams go out and come in.
+pub trait Mail: 'static {
+    /// Sends at once or not at all.
+    fn send(&self, bytes: &[u8], to: SocketAddr) -> io::Result<()>;
+    /// The next one's length, cut to the room there is, and its sender.
+    fn receive(&self, bytes: &mut [u8]) -> impl Future<Output = io::Result<(usize, SocketAddr)>>;
+}
+
 pub trait Ground: 'static {
     type Stream: Stream;
+    type Mail: Mail;
     type Door: Door<Stream = Self::Stream>;
     /// Unix time at the start, and from there on never back.
     fn now(&self) -> Nanos;
@@ -46,6 +55,7 @@
     fn until(&self, at: Nanos) -> impl Future<Output = ()>;
     /// Runs work beside the caller's; dropping the task ends it, with all that it holds.
     fn spawn(&self, work: impl Future<Output = ()> + 'static) -> Task<()>;
+    fn mail(&self, at: SocketAddr) -> io::Result<Self::Mail>;
     fn connect(&self, to: SocketAddr) -> impl Future<Output = io::Result<Self::Stream>>;
 }
 
--- a/crates/drive/src/hub.rs
+++ b/crates/drive/src/hub.rs
@@ -1,6 +1,7 @@
 //! Drives the hub: hands it what came in and what is due, and carries out what it says.
 use crate::ground::Ground;
 use crate::shared::{News, Shared};
+use crate::talk;
 use crate::worker;
 use async_channel::{Receiver, Sender};
 use async_executor::Task;
@@ -97,6 +98,7 @@
                 return;
             }
             News::Probed(probed) => Input::Probed(probed),
+            News::Shared { from, share } => Input::Shared { from, share },
             News::List(listing) => Input::List(listing),
             News::ListFailed => Input::ListFailed,
             News::Stop(by) => Input::Stop(by),
@@ -148,6 +150,7 @@
                 shared.ground.spawn(worker::sound(shared.clone(), worker, dial, host, limit)).detach();
             }
             Effect::Void { worker, dial } => shared.pool.borrow_mut().drop_worker(worker, dial),
+            Effect::Tell { to, share } => talk::tell(shared, to, &share),
             Effect::Follow => {
                 if let Some(leave) = &self.leave {
                     let _ = leave.try_send(());
--- a/crates/drive/src/lib.rs
+++ b/crates/drive/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod hub;
 pub mod node;
 pub mod shared;
+pub mod talk;
 pub mod worker;
--- a/crates/drive/src/node.rs
+++ b/crates/drive/src/node.rs
@@ -4,6 +4,7 @@
 use crate::ground::{Ground, nanos, pause};
 use crate::hub::HubDriver;
 use crate::shared::{News, Shared};
+use crate::talk::{self, Talk};
 use async_channel::Sender;
 use async_executor::Task;
 use futures_lite::FutureExt;
@@ -32,6 +33,7 @@
     hub: Task<()>,
     list: Task<()>,
     accepting: Task<()>,
+    _hearing: Task<()>,
     end: Sender<()>,
     mover: Sender<SocketAddr>,
 }
@@ -50,6 +52,14 @@
         let idle = pick::<Nanos>(map, "connection.idle").unwrap_or(5_000_000_000);
         let connect_within = pick::<Nanos>(map, "connection.within").unwrap_or(250_000_000);
         let report = map.get("report.theirs").map(String::as_str).unwrap_or_default();
+        let talk = match &given.talk {
+            Some(talk) => {
+                let mail = ground.mail(talk.listen);
+                let mail = mail.map_err(|error| format!("cannot listen on {}: {error}", talk.listen))?;
+                Some(Talk::new(mail, pick(map, "me")?, talk.peers.clone()))
+            }
+            None => None,
+        };
         let (tell, news) = async_channel::unbounded();
         let counters = Rc::new(Counters::default());
         let shared = Rc::new(Shared {
@@ -65,6 +75,7 @@
             bad_told: Cell::new(0),
             news: tell,
             names,
+            talk,
         });
         let asked = map.get("list.mode").is_some_and(|mode| mode == "asked");
         let (leave, left) = async_channel::unbounded();
@@ -77,9 +88,10 @@
         let leave = asked.then_some(left);
         let list = discovery::follow(shared.clone(), given.discovery, moves, leave, from);
         let list = shared.ground.spawn(list);
+        let hearing = shared.ground.spawn(talk::hear(shared.clone()));
         let (end, ended) = async_channel::bounded(1);
         let accepting = shared.ground.spawn(client::accept(shared.clone(), door, ended));
-        Ok(Node { shared, given, hub, list, accepting, end, mover })
+        Ok(Node { shared, given, hub, list, accepting, _hearing: hearing, end, mover })
     }
 
     /// Ends when the hub or the watch on the list does. Neither does by itself. Guards against a program that still
@@ -91,8 +103,9 @@
     /// Takes in the configuration anew: where discovery is, and the limits. Guards against an end of the program at the
     /// signal, and against a list of workers that no longer changes.
     pub fn reload(&self, given: &Given) {
-        if (given.listen, &given.map) != (self.given.listen, &self.given.map) {
-            log::warn!("a new listen address and new settings act from the next start only");
+        let as_started = |given: &Given| (given.listen, given.talk.clone(), given.map.clone());
+        if as_started(given) != as_started(&self.given) {
+            log::warn!("a new listen address, talk and settings act from the next start only");
         }
         self.shared.budget.limit(given.sockets, given.memory_mb);
         let _ = self.mover.try_send(given.discovery);
--- a/crates/drive/src/shared.rs
+++ b/crates/drive/src/shared.rs
@@ -1,7 +1,8 @@
 //! What the drivers and the hub all reach: the clock, names, counters, descriptors, and the way to the hub.
 use crate::ground::{Ground, Look, Stream};
+use crate::talk::Talk;
 use async_channel::Sender;
-use rosewall::types::{Nanos, Probed, TxnId, WorkerId};
+use rosewall::types::{Nanos, Probed, Share, TxnId, WorkerId};
 use rosewall_node::budget::{Budget, Slot};
 use rosewall_node::counters::Counters;
 use rosewall_node::pool::{Idle, Pool};
@@ -45,6 +46,10 @@
         conn: Conn<G::Stream>,
     },
     Probed(Probed),
+    Shared {
+        from: u16,
+        share: Share,
+    },
     List(Listing),
     ListFailed,
     /// The program ends: all is to be answered by this moment.
@@ -68,6 +73,8 @@
     /// When the log last spoke of a request that was turned down.
     pub bad_told: Cell<Nanos>,
     pub news: Sender<News<G>>,
+    /// The way to the other dispatchers, where there is one.
+    pub talk: Option<Talk<G::Mail>>,
 }
 
 impl<G: Ground> Shared<G> {
--- a/crates/node/src/counters.rs
+++ b/crates/node/src/counters.rs
@@ -40,6 +40,7 @@
     postings posted_new posted_again started ended_settled ended_error ended_unfit ended_full ended_timeout ended_unconnected
     ended_broken ended_moot settled_late
     connects connects_failed pool_stale pool_broke pool_evicted no_descriptor probes
+    told told_lost heard heard_dropped
     lists lists_failed lists_malformed hosts_clashing broken_promises
 }
 
--- a/crates/node/src/given.rs
+++ b/crates/node/src/given.rs
@@ -1,5 +1,6 @@
 //! What the dispatcher is given at its start: the text of the file that `PROXY_CONFIG` names.
 use rosewall::pick;
+use rosewall::policy::Dispatcher;
 use rosewall::types::Nanos;
 use rosewall_settings::{Map, ours};
 use rosewall_wire::client::Names;
@@ -15,6 +16,7 @@
     limits: Limits,
     #[serde(default)]
     known: Value,
+    talk: Option<Talk>,
     settings: Value,
 }
 
@@ -24,6 +26,14 @@
     sockets: usize,
 }
 
+/// Where dispatchers tell each other what they have out; left out, they do not.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+pub struct Talk {
+    pub listen: SocketAddr,
+    /// The address of each dispatcher, in the order of their numbers.
+    pub peers: Vec<SocketAddr>,
+}
+
 #[derive(Clone)]
 pub struct Given {
     pub listen: SocketAddr,
@@ -33,6 +43,7 @@
     pub sockets: usize,
     /// The list of workers as last known, in discovery's form.
     pub known: Vec<u8>,
+    pub talk: Option<Talk>,
     pub map: Map,
 }
 
@@ -44,9 +55,34 @@
         u64::from_str_radix(&file.seed, 16).map_err(|_| format!("seed {:?} is no number", file.seed))?;
     let mut pairs = Vec::new();
     flatten("", &file.settings, &mut pairs);
-    let map = ours(pairs.iter().map(|(path, value)| (path.as_str(), value.as_str())));
+    let mut map = ours(pairs.iter().map(|(path, value)| (path.as_str(), value.as_str())));
+    if file.talk.is_none() && map.get("share.allowed").is_some_and(|allowed| allowed != "false") {
+        // Guards against decisions that tell what nothing here could carry.
+        log::warn!(
+            "no talk between dispatchers: the settings allow it, but the file gives no addresses for it"
+        );
+        map.insert("share.allowed".into(), "false".into());
+    }
     let (listen, discovery, known) = (file.listen, file.discovery, file.known.to_string().into_bytes());
-    Ok(Given { listen, discovery, seed, memory_mb, sockets, known, map })
+    Ok(Given { listen, discovery, seed, memory_mb, sockets, known, talk: file.talk, map })
+}
+
+/// Whether the dispatcher can start with this; an error names what is wrong and its value.
+pub fn check(given: &Given) -> Result<(), String> {
+    Dispatcher::start(0, given.seed, &given.map)?;
+    if let Some(talk) = &given.talk {
+        let (me, all) = (pick::<usize>(&given.map, "me")?, pick::<usize>(&given.map, "dispatchers")?);
+        if talk.peers.len() != all {
+            return Err(format!("talk.peers has {} addresses for {all} dispatchers", talk.peers.len()));
+        }
+        if talk.peers.get(me).is_none_or(|own| own.port() != talk.listen.port()) {
+            return Err(format!(
+                "talk.listen {} is not the address of number {me} in talk.peers",
+                talk.listen
+            ));
+        }
+    }
+    Ok(())
 }
 
 /// The settings as path=value pairs: parts joined by points, a list of plain values by commas, a list of objects
--- a/crates/node/src/given_tests.rs
+++ b/crates/node/src/given_tests.rs
@@ -1,5 +1,6 @@
 //! What is given at the start, without a file.
-use super::given::{names, read, stop_within};
+use super::given::{check, names, read, stop_within};
+use crate::pace::Pace;
 use rosewall_settings::ours;
 use test_case::test_case;
 
@@ -44,3 +45,38 @@
     let paths: Vec<String> = (0..expiries.len()).map(|at| format!("Schemes.{at}.ExpiryNs")).collect();
     stop_within(&ours(paths.iter().map(String::as_str).zip(expiries.iter().copied())))
 }
+
+const WHOLE: &str = r#"{"listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"ff","limits":{"memory_mb":192,"sockets":64},
+    "talk":{"listen":"127.0.0.1:7001","peers":["127.0.0.1:7000","127.0.0.1:7001"]},
+    "settings":{"Me":1,"Siblings":2,"Bounds":{"Peers":true,"MaxPostings":3,"RetryAfter":true,"MaxRetryAfterNs":1},
+    "Contract":{"ColdFrom":0.2,"ColdNs":1,"FallMultiple":3.0,"FallNs":1},"FamilyInfo":{"TellsStart":true},
+    "RegistryMode":"pushed","Report":{"Fields":[]},"Schemes":[{"Name":"x","Idempotency":"once","Group":"all",
+    "WindowNs":1,"SlaTimeNs":1,"Value":1.0}]}}"#;
+
+#[test_case("", "" => Ok(()); "as it should be")]
+#[test_case("\"Me\":1", "\"Me\":2" => Err("setting me is out of range: 2 of 2 dispatchers".into()); "a number that is not there")]
+#[test_case("\"Peers\":true", "\"Peers\":\"often\"" => Err("setting share.allowed cannot be read: \"often\"".into()); "a wrong form")]
+#[test_case("\"ColdFrom\":0.2", "\"ColdFrom\":-1" => Err("setting cold.from is out of range: -1".into()); "below nothing")]
+#[test_case("\"ColdFrom\":0.2,", "" => Err("setting cold.from is missing".into()); "left out")]
+#[test_case("127.0.0.1:7000\",", "127.0.0.1:7000\",\"127.0.0.1:7002\"," => Err("talk.peers has 3 addresses for 2 dispatchers".into()); "a peer too many")]
+#[test_case("7001\",\"peers", "7009\",\"peers" => Err("talk.listen 127.0.0.1:7009 is not the address of number 1 in talk.peers".into()); "another's address")]
+fn a_configuration_is_checked(from: &str, to: &str) -> Result<(), String> {
+    check(&read(WHOLE.replacen(from, to, 1).as_bytes()).unwrap())
+}
+
+/// Guards against messages that nothing carries.
+#[test_case(WHOLE => Some("true"); "with addresses")]
+#[test_case(&WHOLE.replace("\"talk\"", "\"other\"") => Some("false"); "without")]
+#[test_case(GIVEN => None; "not asked for")]
+fn talk_is_off_without_addresses(text: &str) -> Option<&'static str> {
+    let given = read(text.as_bytes()).unwrap();
+    given.map.get("share.allowed").map(|allowed| if allowed == "true" { "true" } else { "false" })
+}
+
+#[test_case(&[0; 8] => 3; "no more than a second's at once")]
+#[test_case(&[0, 0, 0, 0, 500, 500, 500, 1_000] => 5; "more as time goes on")]
+#[test_case(&[0, 0, 0, 9_000, 8_000, 9_000, 9_000, 9_000] => 6; "a clock that goes back gives none")]
+fn what_a_pace_allows(at_ms: &[u64]) -> usize {
+    let mut pace = Pace::new(3);
+    at_ms.iter().filter(|at| pace.allows((**at + 1) * 1_000_000)).count()
+}
--- a/crates/node/src/hub.rs
+++ b/crates/node/src/hub.rs
@@ -5,7 +5,9 @@
 use crate::workers::Workers;
 use rosewall::policy::Dispatcher;
 use rosewall::sabotage::{Fault, is};
-use rosewall::types::{Action, Ended, Event, Nanos, Outcome, Probed, Report, Scope, Txn, TxnId, WorkerId};
+use rosewall::types::{
+    Action, Ended, Event, Nanos, Outcome, Probed, Report, Scope, Share, Txn, TxnId, WorkerId,
+};
 use rosewall_wire::client::{Answer, Request};
 use rosewall_wire::discovery::Listing;
 use rosewall_wire::worker::{self, Told};
@@ -42,6 +44,11 @@
         told: Told,
     },
     Probed(Probed),
+    /// Another dispatcher, by its number, tells this.
+    Shared {
+        from: u16,
+        share: Share,
+    },
     List(Listing),
     ListFailed,
     /// The program ends: all is to be answered by this moment.
@@ -95,6 +102,11 @@
         worker: WorkerId,
         dial: Option<SocketAddr>,
     },
+    /// To another dispatcher, by its number.
+    Tell {
+        to: u16,
+        share: Share,
+    },
     /// Leave is given to follow the list.
     Follow,
 }
@@ -202,6 +214,7 @@
             }
             Input::Told { txn, leg, told } => self.told(now, txn, leg, told, out),
             Input::Probed(probed) => self.decide(now, Event::Probed(probed), out),
+            Input::Shared { from, share } => self.decide(now, Event::Shared { from, share }, out),
             Input::List(listing) => {
                 let scope = if listing.whole { Scope::Whole } else { Scope::Changes };
                 self.list(now, scope, listing, out);
@@ -417,8 +430,7 @@
             Action::Decline { txn, come_back } => self.refuse(now, txn, Answer::Declined { come_back }, out),
             Action::Reverse { txn } => self.refuse(now, txn, Answer::Reversed, out),
             Action::Follow => out.push(Effect::Follow),
-            // The platform gives no talk between dispatchers, and its settings say so.
-            Action::Tell { .. } => {}
+            Action::Tell { to, share } => out.push(Effect::Tell { to, share }),
             Action::Timer { at, token } => self.arm(at, Due::Decisions(token)),
             Action::Say(text) => log::info!("{text}"),
         }
--- a/crates/node/src/hub_tests.rs
+++ b/crates/node/src/hub_tests.rs
@@ -70,7 +70,9 @@
         Effect::CallOff { txn, leg } => format!("off {txn} {leg}"),
         Effect::Cut { txn, leg } => format!("cut {txn} {leg}"),
         Effect::Done { txn, leg } => format!("done {txn} {leg}"),
-        Effect::Probe { .. } | Effect::Void { .. } | Effect::Follow => "other".to_string(),
+        Effect::Probe { .. } | Effect::Void { .. } | Effect::Tell { .. } | Effect::Follow => {
+            "other".to_string()
+        }
     };
     effects.drain(..).map(word).collect()
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod counters;
 pub mod given;
 pub mod hub;
+pub mod pace;
 pub mod pool;
 pub mod workers;
 
--- /dev/null
+++ b/crates/node/src/pace.rs
@@ -0,0 +1,25 @@
+//! A bound on how often something is done: so many at once, and so many a second.
+use rosewall::types::Nanos;
+
+pub struct Pace {
+    a_second: u64,
+    left: u64,
+    at: Nanos,
+}
+
+impl Pace {
+    pub fn new(a_second: u64) -> Self {
+        Pace { a_second, left: a_second, at: 0 }
+    }
+
+    /// Whether it may be done once more now.
+    pub fn allows(&mut self, now: Nanos) -> bool {
+        let more = now.saturating_sub(self.at).min(1_000_000_000) * self.a_second / 1_000_000_000;
+        if more > 0 {
+            (self.left, self.at) = ((self.left + more).min(self.a_second), now);
+        }
+        let allowed = self.left > 0;
+        self.left -= u64::from(allowed);
+        allowed
+    }
+}
--- a/crates/rosewalld/src/ground.rs
+++ b/crates/rosewalld/src/ground.rs
@@ -4,9 +4,9 @@
 use async_io::{Async, Timer};
 use futures_lite::{AsyncRead, AsyncWrite};
 use rosewall::types::Nanos;
-use rosewall_drive::ground::{Door, Ground, Look, Stream};
+use rosewall_drive::ground::{Door, Ground, Look, Mail, Stream};
 use std::io::{self, ErrorKind};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
@@ -28,6 +28,7 @@
 impl Ground for Sockets {
     type Stream = Socket;
     type Door = Listener;
+    type Mail = Datagrams;
 
     fn now(&self) -> Nanos {
         self.unix + u64::try_from(self.base.elapsed().as_nanos()).unwrap_or(u64::MAX / 2)
@@ -42,11 +43,27 @@
         self.ex.spawn(work)
     }
 
+    fn mail(&self, at: SocketAddr) -> io::Result<Datagrams> {
+        Ok(Datagrams(Async::<UdpSocket>::bind(at)?))
+    }
+
     async fn connect(&self, to: SocketAddr) -> io::Result<Socket> {
         Socket::new(Async::<TcpStream>::connect(to).await?)
     }
 }
 
+pub struct Datagrams(Async<UdpSocket>);
+
+impl Mail for Datagrams {
+    fn send(&self, bytes: &[u8], to: SocketAddr) -> io::Result<()> {
+        self.0.get_ref().send_to(bytes, to).map(drop)
+    }
+
+    async fn receive(&self, bytes: &mut [u8]) -> io::Result<(usize, SocketAddr)> {
+        self.0.recv_from(bytes).await
+    }
+}
+
 pub struct Socket(Async<TcpStream>);
 
 impl Socket {
--- a/crates/rosewalld/src/life/start.rs
+++ b/crates/rosewalld/src/life/start.rs
@@ -24,6 +24,7 @@
         std::fs::read(path).map_err(|error| format!("cannot read the configuration {path}: {error}"))?;
     let mut given =
         given::read(&text).map_err(|fault| format!("cannot use the configuration {path}: {fault}"))?;
+    given::check(&given).map_err(|fault| format!("cannot use the configuration {path}: {fault}"))?;
     // Guards against a system that allows fewer descriptors than are told.
     let system = rustix::process::getrlimit(rustix::process::Resource::Nofile).current;
     given.sockets =
--- a/crates/rosewalld/tests/daemon.rs
+++ b/crates/rosewalld/tests/daemon.rs
@@ -1,5 +1,6 @@
 //! The program as it is started, spoken to over sockets.
 mod common;
+mod mixed;
 
 use common::{
     Act, Client, Daemon, Discovery, Worker, configuration, counter_in, host, request, script,
--- a/crates/wire/src/tests.rs
+++ b/crates/wire/src/tests.rs
@@ -4,7 +4,7 @@
 use super::http::{BODY_LIMIT, Fault, HEAD_LIMIT, Inlet};
 use super::worker::{Reply, Sounding, Told, posting};
 use rosewall::pcg::Pcg;
-use rosewall::types::{Outcome, Report, Standing};
+use rosewall::types::{Outcome, Report, Share, Standing, WorkerId};
 use test_case::test_case;
 
 fn names() -> Names {
@@ -270,3 +270,35 @@
 fn a_name_is_found_as_it_is_spoken(name: &str) -> Option<usize> {
     place(&["a_b".to_string(), "a_b_c".to_string()], name)
 }
+
+/// Guards against datagrams of strangers, of other versions, and spoilt ones.
+#[test_case(|_| (), 7000 => true; "ours")]
+#[test_case(|bytes| { bytes.pop(); }, 7000 => false; "short")]
+#[test_case(|bytes| bytes.push(0), 7000 => false; "long")]
+#[test_case(|bytes| bytes.clear(), 7000 => false; "empty")]
+#[test_case(|bytes| bytes[0] = 0, 7000 => false; "of another program")]
+#[test_case(|bytes| bytes[2] = 2, 7000 => false; "of another version")]
+#[test_case(|bytes| bytes[3] = 1, 7000 => false; "of a number that is not there")]
+#[test_case(|bytes| bytes[4] = 1, 7000 => false; "of a number with another address")]
+#[test_case(|_| (), 7009 => false; "of a stranger")]
+fn datagrams_are_read(spoil: fn(&mut Vec<u8>), port: u16) -> bool {
+    let share = Share {
+        worker: WorkerId { addr: [10, 1, 2, 3], port: 4 },
+        halves: 5,
+        work: 600,
+        sign: Share::sign_of(2.0),
+    };
+    let mut bytes = super::talk::datagram(0, &share).to_vec();
+    spoil(&mut bytes);
+    let at = |port| std::net::SocketAddr::from(([127, 0, 0, 1], port));
+    super::talk::read(&bytes, at(port), &[at(7000), at(7001)]) == Ok((0, share))
+}
+
+proptest::proptest! {
+    #[test]
+    fn any_datagram_is_read_or_dropped(bytes: Vec<u8>, port: u16) {
+        let at = std::net::SocketAddr::from(([127, 0, 0, 1], port));
+        let read = super::talk::read(&bytes, at, &[at]);
+        proptest::prop_assert!(read.is_err() || bytes == super::talk::datagram(0, &read.unwrap().1));
+    }
+}
--- a/crates/world/src/world.rs
+++ b/crates/world/src/world.rs
@@ -9,7 +9,7 @@
 use async_channel::Sender;
 use async_executor::{LocalExecutor, Task};
 use rosewall::types::{Nanos, Standing};
-use rosewall_drive::ground::Ground;
+use rosewall_drive::ground::{Ground, Mail};
 use rosewall_drive::node::Node;
 use rosewall_node::given::{self, Given};
 use serde_json::{Value, json};
@@ -48,9 +48,27 @@
     }
 }
 
+/// No datagrams in a world: its dispatchers are given no addresses to talk at.
+pub enum NoMail {}
+
+impl Mail for NoMail {
+    fn send(&self, _: &[u8], _: SocketAddr) -> io::Result<()> {
+        match *self {}
+    }
+
+    async fn receive(&self, _: &mut [u8]) -> io::Result<(usize, SocketAddr)> {
+        match *self {}
+    }
+}
+
 impl Ground for Virtual {
     type Stream = VStream;
     type Door = VDoor;
+    type Mail = NoMail;
+
+    fn mail(&self, _: SocketAddr) -> io::Result<NoMail> {
+        Err(io::ErrorKind::Unsupported.into())
+    }
 
     fn now(&self) -> Nanos {
         self.core.now()
--- a/src/state.rs
+++ b/src/state.rs
@@ -469,8 +469,16 @@
             let number = || pick::<f64>(map, name);
             figures.insert(name, pick::<bool>(map, name).map(f64::from).or_else(|_| number())?);
         }
+        let absurd = figures.iter().find(|(_, value)| !(0.0..1e18).contains(*value));
+        if let Some((name, value)) = absurd {
+            return Err(format!("setting {name} is out of range: {value}"));
+        }
         let fields: String = pick(map, "report.fields")?;
         let dispatchers = pick::<f64>(map, "dispatchers")?.max(1.0);
+        let (shares, me) = (pick_or(map, "share.allowed", false)?, figures["me"]);
+        if shares && !(dispatchers <= 65_535.0 && me < dispatchers) {
+            return Err(format!("setting me is out of range: {me} of {dispatchers} dispatchers"));
+        }
         Ok(Dispatcher {
             chance: Pcg::new(seed),
             schemes,
@@ -480,7 +488,7 @@
             report_at: ["free-slots", "inflight"].map(|name| fields.split(',').position(|f| f == name)),
             figures,
             list_asked: pick::<String>(map, "list.mode")? == "asked",
-            shares: pick_or(map, "share.allowed", false)?,
+            shares,
             first_come: pick_or::<String>(map, "queue.order", "fifo".to_string())? == "fifo",
             lag_at: now,
             rare: 1.0,
