A cheaper txn is turned away by the room of the dearer, as far as the dearest were

At fault: kept() looks at the txn's own room alone. Now by the part of the dearest turned away of late.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -11,7 +11,7 @@
 use crate::state::Effect::{OnceOnly, Referenced, Repeatable};
 use crate::state::Stage::{Again, Answered, Doubted, Held, Out};
 use crate::state::{BINS, Bins, SECOND, below, fade};
-use crate::state::{Effect, InHand, Input, Map, Posting, Silence, Stage, Step};
+use crate::state::{Effect, InHand, Input, Map, Posting, Scheme, Silence, Stage, Step};
 use crate::state::{Told, Trust, Worker};
 use crate::types::{Action, Ended, Event, Listed, Nanos, Outcome, Report, Scope, Share, Standing};
 use crate::types::{Txn, TxnId};
@@ -572,7 +572,7 @@
         }
         let lane = self.lane(now, key);
         match self.choose(now, key, lane) {
-            Some((at, cost, strain)) if posted > 0 || self.kept(now, key, strain) => {
+            Some((at, cost, strain)) if posted > 0 || self.kept(now, key, cost, strain) => {
                 self.post(now, key, at, cost, acts);
             }
             // Cold workers may soon take more: ask again shortly, as long as it can still be in time.
@@ -586,14 +586,23 @@
     /// Overload: a txn with too little of its room left after waiting is turned away by chance, the cheaper
     /// ones more often, and sooner the more of the last seven to twenty started too late. Guards against
     /// a jam that keeps itself up, and, waits being guesses, against declines while all goes well.
-    fn kept(&mut self, now: Nanos, key: usize, strain: f64) -> bool {
+    fn kept(&mut self, now: Nanos, key: usize, wait: f64, strain: f64) -> bool {
         let value = self.schemes[usize::from(self.txns[key].txn.scheme)].value.max(1e-9);
         let most = self.schemes.iter().map(|scheme| scheme.value).fold(0.0, f64::max);
         // Forgotten if nothing starts: half in 1 s, or up to 3 s where few jobs are seen. Guards against
         // turning all away for ever, and against forgetting from one rare start to the next.
         let late = fade(self.late, self.lag_at, now, SECOND * self.rare);
+        // As far as txns of the highest value are turned away, a cheaper one's wait counts over the least room of those
+        // dearer. Guards against queues that long rooms can bear and in which nothing of more value can be in time.
+        let room = |s: &Scheme| s.sla + (s.stretch - 1.0).max(0.0) * s.mean();
+        let least = self.schemes.iter().filter(|s| s.value > value).map(room).fold(f64::INFINITY, f64::min);
+        let strain = strain + self.turned * (wait / least - strain).max(0.0);
         let fits = (3.0 - 2.0 * strain * (1.0 + 3.0 * late)).clamp(0.0, 1.0);
-        fits >= 1.0 || self.chance.unit() < fits.powf(most / value)
+        let kept = fits >= 1.0 || self.chance.unit() < fits.powf(most / value);
+        if value >= most {
+            self.turned += 0.05 * self.rare * (f64::from(!kept) - self.turned);
+        }
+        kept
     }
 
     fn post(&mut self, now: Nanos, key: usize, at: usize, cost: f64, acts: &mut Vec<Action>) {
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -289,7 +289,7 @@
 fn turned_away(strain: f64, scheme: u8) -> bool {
     let mut d = dispatcher(1);
     let key = d.txns.insert(InHand::new(txn(1, scheme, MS, 0), Repeatable, 1.0, 1.0, 1.0, 0));
-    d.kept(0, key, strain)
+    d.kept(0, key, 0.0, strain)
 }
 
 #[test_case(0, 0 => true; "no word for long: others' jobs may be ahead")]
@@ -320,7 +320,7 @@
     let mut d = dispatcher(1);
     (d.late, d.rare, d.lag_at) = (1.0, rare, 0);
     let key = d.txns.insert(InHand::new(txn(1, 2, MS, 0), Repeatable, 1.0, 1.0, 1.0, 0));
-    (0..20).all(|_| d.kept(3_000 * MS, key, 0.6))
+    (0..20).all(|_| d.kept(3_000 * MS, key, 0.0, 0.6))
 }
 
 #[test_case(4, 40 => (40, 4, 4); "few dispatchers use all workers")]
@@ -874,3 +874,16 @@
         assert!(warmth >= 1.0 || sum <= 3.0 * 2.0 * warmth * SECOND, "{sum} at {at}");
     }
 }
+
+/// Guards against queues that long rooms can bear and in which nothing of more value can be in time.
+#[test_case(0, 0.0 => true; "the dearest are taken")]
+#[test_case(0, 0.9 => false; "the dearest are turned away")]
+#[test_case(2, 0.9 => true; "itself the dearest")]
+fn the_room_of_dearer_schemes_counts(scheme: u8, turned: f64) -> bool {
+    let mut d = dispatcher(1);
+    (0..5).for_each(|_| d.schemes[2].add(100e6));
+    d.turned = turned;
+    let key = d.txns.insert(InHand::new(txn(1, scheme, MS, 0), Repeatable, 1.0, 1.0, 1.0, 0));
+    // A second's wait: half of its own room, two and a half times theirs.
+    d.kept(0, key, SECOND, 0.5)
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -446,6 +446,8 @@
     pub(crate) lag_at: Nanos,
     pub(crate) others: f64,
     pub(crate) late: f64,
+    /// The part of the dearest txns turned away, of the last seven to twenty.
+    pub(crate) turned: f64,
     /// Figures in reports that cannot be, since the log was told.
     pub(crate) absurd: u64,
     /// The mean distrust, and the least capacity for a unit of listed size, as of the last beat.
