--- a/src/policy.rs
+++ b/src/policy.rs
@@ -11,7 +11,7 @@
 use crate::state::Effect::{OnceOnly, Referenced, Repeatable};
 use crate::state::Stage::{Again, Answered, Doubted, Held, Out};
 use crate::state::{BINS, Bins, SECOND, below, fade};
-use crate::state::{Effect, InHand, Input, Map, Posting, Scheme, Silence, Stage, Step};
+use crate::state::{Effect, InHand, Input, Map, Posting, Scheme, Stage, Step};
 use crate::state::{Told, Trust, Worker};
 use crate::types::{Action, Ended, Event, Listed, Nanos, Outcome, Report, Scope, Share, Standing};
 use crate::types::{Txn, TxnId};
@@ -224,51 +224,40 @@
             }
             w.blend(now);
             let limit = if w.logged { 0.1 } else { 0.5 };
-            let doubted = w.doubt(now, self.distrust, 0, OnceOnly) > limit;
-            if w.logged != doubted {
-                w.logged = doubted;
-                acts.push(Action::Say(format!(
-                    "worker {}: {}trusted",
-                    w.id,
-                    if doubted { "dis" } else { "" }
-                )));
+            if w.logged != (w.doubt(now, self.distrust, 0, OnceOnly) > limit) {
+                w.logged = !w.logged;
+                let what = if w.logged { "distrusted" } else { "trusted again" };
+                acts.push(Action::Say(format!("worker {}: {what}", w.id)));
             }
         }
     }
 
-    /// Tells the others what this dispatcher has out at a worker, whenever that changes and each second. Guards against
-    /// what a partial view costs few dispatchers with large jobs: each takes for free what another has just filled.
+    /// Tells those who keep to a worker what this dispatcher has out there and how it runs, as far as they would be wrong:
+    /// they let go on by themselves what they were told. Guards against what a partial view costs: each takes for free
+    /// what another has just filled, and finds out by itself who is slow.
     fn tell(&mut self, now: Nanos, at: usize, sign: u8, acts: &mut Vec<Action>) {
-        if self.shares {
-            self.tally(now);
-            let worker = &mut self.workers[at];
-            let Worker { id, out, ahead, said, .. } = *worker;
-            // As far as they would be wrong: they let go on by themselves what they were told.
-            let off = (ahead - said.left(now, worker.seats).1).abs();
-            if sign == Share::UNKNOWN
-                && off <= TELL_FROM * self.mean
-                && (out == 0.0 || now < said.at + TELL_EVERY)
-            {
-                return;
-            }
-            worker.said = Told { seats: out, work: ahead, at: now, ..said };
-            let (own, n) = worker.seen_pace();
-            let known = if n > 0.0 { Share::sign_of(own) } else { Share::UNKNOWN };
-            let sign = if sign == Share::SILENT { sign } else { known };
-            let share =
-                Share { worker: id, halves: (2.0 * out).ceil() as u8, work: (ahead / 16e6) as u16, sign };
-            let (me, all) = (self.says("me") as usize, self.dispatchers as usize);
-            let listed = self.schemes.iter().map(|scheme| &scheme.all);
-            let Some((place, n)) =
-                listed.filter_map(|all| Some((all.iter().position(|w| *w == at)?, all.len()))).next()
-            else {
-                return;
-            };
-            let m = self.stretches(n);
-            let lane = (0..m).rfind(|lane| lane * n / m <= place).unwrap_or(0);
-            let keeps = |to: &usize| *to != me && kept(*to, lane, m, n) == place;
-            acts.extend((0..all).filter(keeps).map(|to| Action::Tell { to: to as u16, share }));
+        if !self.shares {
+            return;
         }
+        self.tally(now);
+        let worker = &mut self.workers[at];
+        let Worker { id, out, ahead, said, .. } = *worker;
+        let right = (ahead - said.left(now, worker.seats).1).abs() <= TELL_FROM * self.mean;
+        if sign == Share::UNKNOWN && right && (out == 0.0 || now < said.at + TELL_EVERY) {
+            return;
+        }
+        worker.said = Told { seats: out, work: ahead, at: now, ..said };
+        let (pace, jobs) = worker.seen_pace();
+        let sign = if sign != Share::SILENT && jobs > 0.0 { Share::sign_of(pace) } else { sign };
+        let (halves, work) = ((2.0 * out).ceil() as u8, (ahead / 16e6) as u16);
+        let share = Share { worker: id, halves, work, sign };
+        let (me, all) = (self.says("me") as usize, self.dispatchers as usize);
+        let place = |s: &Scheme| Some((s.all.iter().position(|worker| *worker == at)?, s.all.len()));
+        let Some((place, n)) = self.schemes.iter().find_map(place) else { return };
+        let m = self.stretches(n);
+        let lane = (0..m).rfind(|lane| lane * n / m <= place).unwrap_or(0);
+        let keeps = |to: &usize| *to != me && kept(*to, lane, m, n) == place;
+        acts.extend((0..all).filter(keeps).map(|to| Action::Tell { to: to as u16, share }));
     }
 
     fn survey(&mut self, now: Nanos) {
@@ -475,20 +464,6 @@
         let bound = doubt.filter(|_| effect == Referenced && !is(Fault::WindowIgnored));
         let (lanes, mean) = (if bound.is_some() { &scheme.all } else { &scheme.lanes }, scheme.mean());
         let fleet = self.unseen * fade(self.lag, self.lag_at, now, SECOND * self.rare);
-        // A silent worker is tried with what may be repeated, ever more rarely. Guards against leaving out for all
-        // who only fails one scheme, or lost one job.
-        let tries = |at: &&usize| {
-            let worker = &self.workers[**at];
-            let rested =
-                |s: Silence| now > s.tried + (s.tried - s.since) + (0.5 * SECOND * self.sharers) as Nanos;
-            worker.silent.is_some_and(rested) && self.warmth(worker, now) >= 1.0
-        };
-        if effect == Repeatable
-            && hand.posted == 0
-            && let Some(at) = lanes.iter().find(tries)
-        {
-            return Some((*at, 0.0, 0.0));
-        }
         let late = fade(self.late, self.lag_at, now, SECOND * self.rare);
         let (mut least, mut best) = (f64::INFINITY, None);
         for step in 0..2 * lanes.len() {
@@ -616,7 +591,6 @@
         if cold {
             worker.spent.push_back((now, hand.work));
         }
-        worker.silent.iter_mut().for_each(|silence| silence.tried = now);
         let expected = worker.queue(hand.need, worker.told(now));
         hand.legs[hand.posted] = Posting { worker: at, at: now, expected, started: None, out: true };
         let token = token(hand.txn.id, hand.posted);
@@ -640,7 +614,7 @@
         let worker = &mut self.workers[posting.worker];
         worker.heard(now, 0.1);
         worker.reached = worker.reached.max(if self.first_come { posting.at } else { 0 });
-        if worker.silent.take().is_some() {
+        if std::mem::take(&mut worker.silent) {
             worker.trust = Trust::default();
         }
         (worker.lag, worker.lag_at) = (posting.delay(now), now);
@@ -672,9 +646,7 @@
         let by = if silent { 0.8 } else { f64::from(posting.started.is_some()) * 0.15 };
         worker.trust.add(now, Worker::HALF, by);
         if silent {
-            worker.silent.get_or_insert(Silence { since: now, tried: now });
-        }
-        if silent {
+            worker.silent = true;
             self.tell(now, posting.worker, Share::SILENT, acts);
         }
         let age = now - posting.started.unwrap_or(posting.at);
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -379,19 +379,6 @@
     (d.workers[0].doubt(600 * MS, 0.0, 0, Repeatable) > 0.25, d.workers[0].out)
 }
 
-#[test_case(0, 1_000 => true; "a repeatable one tries a silent worker")]
-#[test_case(0, 300 => false; "not at once")]
-#[test_case(2, 1_000 => false; "a once only one does not")]
-fn a_silent_worker_is_tried(scheme: u8, later: Nanos) -> bool {
-    let mut d = dispatcher(4);
-    let now = 5_000 * MS;
-    let silence = Silence { since: now, tried: now };
-    (d.workers[3].silent, d.workers[3].trust) = (Some(silence), Trust { distrust: 0.8, at: now });
-    let then = now + (later + 1) * MS;
-    let acts = handle(&mut d, then, Event::Arrived(txn(9, scheme, 10 * MS, then)));
-    acts == [Action::Post { txn: 9, worker: id(3) }]
-}
-
 /// Guards against a worker that starts all and fails most: its starts had it trusted again at once.
 #[test_case(&[0] => [true, false, false]; "one scheme")]
 #[test_case(&[0, 1] => [true, true, false]; "two schemes")]
--- a/src/state.rs
+++ b/src/state.rs
@@ -154,13 +154,6 @@
     }
 }
 
-/// When a silence was noticed, and when a job last went to try the worker.
-#[derive(Clone, Copy, Debug)]
-pub struct Silence {
-    pub since: Nanos,
-    pub tried: Nanos,
-}
-
 #[derive(Default)]
 pub struct Worker {
     pub id: WorkerId,
@@ -181,8 +174,8 @@
     pub trust: Trust,
     /// What errors of each scheme left.
     pub of: Vec<Trust>,
-    /// Silent since a posting that should have started.
-    pub silent: Option<Silence>,
+    /// Silent since a posting that should have started: its next start has it trusted again.
+    pub silent: bool,
     /// When the latest posting of those that it has started was sent.
     pub reached: Nanos,
     /// When it last gave a sign of life.
