--- a/src/policy.rs
+++ b/src/policy.rs
@@ -19,8 +19,8 @@
 #[cfg(test)]
 mod tests;
 
-/// Each dispatcher keeps to so many workers that at most twelve share each: few enough to hear of them and reuse
-/// connections, enough that uneven traffic evens out.
+/// Each dispatcher keeps to so many workers that at most twelve share each: few enough to hear of them and
+/// reuse connections, enough that uneven traffic evens out.
 const SHARERS: f64 = 12.0;
 
 const ALL: &[Effect] = &[Repeatable, Referenced, OnceOnly];
@@ -52,7 +52,7 @@
     match outcome {
         Outcome::Settled => Input::Settled,
         Outcome::Full | Outcome::NoConnection | Outcome::Moot => Input::NotRun,
-        // Nothing is proven, and no worker is to blame. Guards against bad clients that spoil trust in workers.
+        // Nothing is proven, and no worker is to blame. Guards against clients that spoil trust.
         Outcome::Unfit => Input::GivenUp,
         Outcome::Error | Outcome::TimeOut | Outcome::Broken | Outcome::Withdrawn => Input::MayHaveRun,
     }
@@ -109,9 +109,9 @@
 impl Worker {
     /// Distrust halves in 5 s: several times the time between postings to one worker at low traffic.
     const HALF: f64 = 5.0 * SECOND;
-    /// Distrust above the fleet's mean: when all look bad at once, no one is worse than another. Or what errors of the
-    /// scheme left, for which starts do not make up; of any, for what cannot be posted again. Guards against a worker
-    /// that starts all and fails most, or one scheme.
+    /// Distrust above the fleet's mean: when all look bad at once, no one is worse than another. Or what
+    /// errors of the scheme left, for which starts do not make up; of any, for what cannot be posted again.
+    /// Guards against a worker that starts all and fails most, or one scheme.
     fn doubt(&self, now: Nanos, mean: f64, scheme: usize, effect: Effect) -> f64 {
         let all = (self.trust.now(now, Worker::HALF) - mean).clamp(0.0, 0.95);
         let of = self.of.iter().enumerate().filter(|(at, _)| *at == scheme || effect == OnceOnly);
@@ -140,20 +140,20 @@
     fn wait(&self, now: Nanos, need: f64, mean: f64, fleet: (f64, f64)) -> f64 {
         // Reports and start delays tell of others' work, which changes as fast as jobs end: about 1 s.
         let others = fleet.1 + fade(self.others - fleet.1, self.others_at, now, SECOND);
-        // What is not seen anew drifts to what the whole fleet shows. Guards against a fleet jammed by
-        // many dispatchers, in which each sees too little of one worker to notice its queue.
+        // What is not seen anew drifts to what the whole fleet shows. Guards against a fleet jammed by many
+        // dispatchers, in which each sees too little of one worker to notice its queue.
         let lag = fleet.0 + fade(self.lag - fleet.0, self.lag_at, now, SECOND);
         let (seats, work) = self.told(now);
         self.queue(need, (others + seats, others * mean + work)) + lag
     }
 }
 
-/// The timers of the beat, each second, and of the next call for the list; all others carry a txn's id and leg.
+/// The timers of the beat, each second, and of the next call for the list; others carry a txn's id and leg.
 const BEAT: u64 = u64::MAX;
 const ASK: u64 = u64::MAX - 1;
 const BEAT_EVERY: Nanos = 1_000_000_000;
-/// What is out is told again where the others would take it for this part of a mean job more or less than it is (0.1 to 0.6
-/// did alike, at a third the messages cost half), and each 4 s: what is told counts for 10 s, so that two in a row may be lost.
+/// What is out is told again where others would take it for this part of a mean job more or less than it is
+/// (a fifth and a half did worse), and each 4 s: it counts for 10 s, should two messages be lost.
 const TELL_FROM: f64 = 0.3;
 const TELL_EVERY: Nanos = 4_000_000_000;
 
@@ -232,9 +232,9 @@
         }
     }
 
-    /// Tells those who keep to a worker what this dispatcher has out there and how it runs, as far as they would be wrong:
-    /// they let go on by themselves what they were told. Guards against what a partial view costs: each takes for free
-    /// what another has just filled, and finds out by itself who is slow.
+    /// Tells those who keep to a worker what this dispatcher has out there and how it runs, as far as they
+    /// would be wrong: they let go on by themselves what they were told. Guards against what a partial view
+    /// costs: each takes for free what another has just filled, and finds out by itself who is slow.
     fn tell(&mut self, now: Nanos, at: usize, sign: u8, acts: &mut Vec<Action>) {
         if !self.shares {
             return;
@@ -264,13 +264,13 @@
         let ready = || self.workers.iter().filter(|worker| worker.standing == Standing::Ready);
         self.distrust =
             ready().map(|w| w.trust.now(now, Worker::HALF)).sum::<f64>() / ready().count().max(1) as f64;
-        // Full capacity by what is known of the fleet: seats at their pace for their size, the least fourth of the warm where
-        // there are some. Guards against what is sure of a worker falling with their number, as of many one is always
-        // slow, and against a mean in which a few large ones stand for a small one.
+        // Full capacity by what is known of the fleet: seats at their pace for their size, the least fourth
+        // of the warm where there are some. Guards against a figure that falls with their number, as of many
+        // one is slow, and against a mean of large and small.
         let some = ready().any(|w| self.warmth(w, now) >= 1.0);
         let full = ready().filter(|w| !some || self.warmth(w, now) >= 1.0);
-        // And none is taken to be faster than hints say, as the cold one may be the slow one.
-        // Only its own jobs tell of it here: a kind's mean for all not yet seen left cold workers idle.
+        // And none is taken to be faster than hints say, as the cold one may be the slow one. Only its own
+        // jobs tell of it here: a kind's mean for all not yet seen left cold workers idle.
         let pace = |w: &Worker| if w.paced > 0.0 { w.pace.max(1.0) } else { 1.0 };
         let mut units: Vec<f64> = full.map(|w| w.seats / pace(w) / w.size).collect();
         units.sort_unstable_by(f64::total_cmp);
@@ -291,8 +291,8 @@
     fn list(&mut self, now: Nanos, scope: Scope, entries: &[Listed], acts: &mut Vec<Action>) {
         match scope {
             Scope::Failed => {
-                // Twice as long after each failure up to 4 s, spread so that dispatchers do not call as one, and by a
-                // timer of its own. Guards against calls on the beat, which all who started together share.
+                // Twice as long after each failure up to 4 s, spread so that dispatchers do not call as one,
+                // and by a timer of its own, not on the beat, which all who started together share.
                 let wait = 0.5 * SECOND * f64::from(1 << self.ask_failures.min(3));
                 self.ask_failures += 1;
                 self.following = false;
@@ -317,7 +317,7 @@
                 // A new process: what was held against the old one is void, and it starts cold.
                 (worker.trust, worker.silent, worker.lag) = Default::default();
                 worker.of.fill(Trust::default());
-                // What went to it before its start was told of counts too. Guards against a fresh budget on top of that.
+                // What went to it before its start was told of counts too.
                 worker.spent = self.txns.iter().flat_map(|(_, hand)| hand.sent(at, entry.started)).collect();
                 (worker.refusals, worker.refused_till) = (0, 0);
                 worker.started = entry.started;
@@ -344,9 +344,9 @@
         self.follow(now, acts);
     }
 
-    /// Into how many stretches so many workers are cut, for each dispatcher to keep to one of each. Eight, as long as four to
-    /// twelve share a worker: fewer lanes are heard of more often, and by more the chance of who sends how much evens out.
-    /// Those who tell each other hear from however many share (ten lanes did as eight).
+    /// Into how many stretches so many workers are cut, for each dispatcher to keep to one of each. Eight, as
+    /// long as four to twelve share a worker: fewer lanes are heard of more often, and by more the chance of
+    /// who sends how much evens out. Those who tell each other hear from however many share.
     fn stretches(&self, n: usize) -> usize {
         let each = n as f64 / self.dispatchers;
         let most = if self.shares { f64::INFINITY } else { SHARERS * each };
@@ -364,9 +364,9 @@
                 let among = &all[lane * n / m..(lane + 1) * n / m];
                 let (len, block) = (among.len(), me / among.len());
                 let turn = kept(me, lane, m, n) - lane * n / m;
-                // In place of one that takes no connection another of its stretch, each block of dispatchers its own, but
-                // none that is cold: its turns count on who keeps to it. Guards against lanes that lead nowhere for as
-                // long as no one tells that their workers are gone.
+                // In place of one that takes no connection another of its stretch, each block of dispatchers
+                // its own, but none that is cold: its turns count on who keeps to it. Guards against lanes
+                // that lead nowhere for as long as no one tells that their workers are gone.
                 let other = |step: usize| (turn + 1 + (block + step) % (len - 1)) % len;
                 let others = (0..len - 1).map(|step| among[other(step)]);
                 let warm = others.filter(|at| self.warmth(&self.workers[*at], now) >= 1.0);
@@ -388,22 +388,22 @@
         (from + (1.0 - from) * age / self.says("cold.time").max(1.0)).min(1.0)
     }
 
-    /// What one dispatcher may send to a cold worker in any window, and for how many of those that keep to it this one
-    /// stands: none where it is not its turn. All clocks are one, and numbers next to each other take different workers
-    /// of a stretch. Guards against parts of a budget so small that no job fits in one.
+    /// What one dispatcher may send to a cold worker in any window, and for how many of those that keep to it
+    /// this one stands: none where it is not its turn. All clocks are one, and numbers next to each other
+    /// take different workers of a stretch. Guards against parts in which no job fits.
     fn turn(&self, worker: &Worker, now: Nanos) -> (f64, f64) {
         let (warmth, window) = (self.warmth(worker, now), self.says("fall.window").max(1.0));
-        // Half of what is allowed: a third may come from those who have not heard of its start, the rest is for
-        // work beyond its hint.
+        // Half of what is allowed: a third may come from those who have not heard of its start, the rest is
+        // for hints.
         let most = 0.5 * self.says("fall.multiple") * self.unit * worker.size * warmth * window;
         let turns = if self.shares { self.sharers.ceil() } else { SHARERS }.min(self.dispatchers);
-        // Two have a turn at once, and more as it warms, as one has few txns in a window; the part of each stays what it
-        // is at the start. All count alike, by what the list and the settings tell.
+        // Two have a turn at once, and more as it warms, as one has few txns in a window; the part of each
+        // stays what it is at the start. All count alike, by what the list and the settings tell.
         let at_once = (2.0 * warmth / self.says("cold.from").max(0.01)).floor().clamp(1.0, turns);
         let place = (self.says("me") * turns / self.dispatchers) as u64;
         let [a, b, c, d] = worker.id.addr.map(u64::from);
         let of = a + b + c + d + u64::from(worker.id.port);
-        // A turn lasts four windows, of which the first is a rest: it may be full of what those before have sent.
+        // A turn lasts four windows, of which the first is a rest: those before may have filled it.
         let at = now / window as u64 + of;
         let mine = !at.is_multiple_of(4) && (at / 4 + of + place) % (turns as u64) < at_once as u64;
         (most / at_once, if mine { turns / at_once } else { 0.0 })
@@ -453,8 +453,8 @@
         lane.min(scheme.lanes.len().saturating_sub(1))
     }
 
-    /// The worker for a txn, and how long it would wait there: its lane's, or the nearest id neighbour
-    /// that can start it soon enough; failing that, the one with the least to wait.
+    /// The worker for a txn, and how long it would wait there: its lane's, or the nearest id neighbour that
+    /// can start it soon enough; failing that, the one with the least to wait.
     fn choose(&mut self, now: Nanos, key: usize, mine: usize) -> Option<(usize, f64, f64)> {
         self.tally(now);
         let hand = &self.txns[key];
@@ -482,7 +482,7 @@
                 }
             }
             let worker = &self.workers[at];
-            // One's part of the seats, which a job as large may have alone; what others have told of leaves the rest.
+            // One's part of the seats, which a job as large may have alone, less what others told of.
             let (sharing, all) = (if self.shares { 1.0 } else { self.dispatchers }, worker.seats.round());
             let (part, told) = ((all / sharing).max(1.0), worker.told(now).0);
             let doubt = worker.doubt(now, self.distrust, usize::from(txn.scheme), effect);
@@ -500,13 +500,13 @@
             if worker.out + told + need.min(part) <= part && doubt < 0.25 && strain < 0.05 {
                 return Some((at, wait, strain));
             }
-            // Own jobs in flight, and their work, weigh again: what others see and do is alike. A job that fails
-            // loses all, one that waits out its room a part. And it failed there before.
+            // Own jobs in flight, and their work, weigh again: what others see and do is alike. A job that
+            // fails loses all, one that waits out its room a part. And it failed there before.
             let failed = hand.legs[..hand.posted].iter().any(|posting| posting.worker == at);
             let cost = strain + (worker.ahead / room + worker.out) / worker.seats + doubt + f64::from(failed);
             if cost < least {
-                // Turned away is by the queue: that a worker is slow shortens its room, but is no overload, and counts only
-                // as far as starts are late.
+                // Turned away is by the queue: that a worker is slow shortens its room, but is no overload,
+                // and counts only as far as starts are late.
                 let pace = 1.0 + (worker.pace - 1.0) * (3.0 * late).min(1.0);
                 (least, best) = (cost, Some((at, wait, wait / hand.room(now, pace).max(1.0))));
             }
@@ -559,16 +559,16 @@
     }
 
     /// Overload: a txn with too little of its room left after waiting is turned away by chance, the cheaper
-    /// ones more often, and sooner the more of the last seven to twenty started too late. Guards against
-    /// a jam that keeps itself up, and, waits being guesses, against declines while all goes well.
+    /// ones more often, and sooner the more of the last seven to twenty started too late. Guards against a
+    /// jam that keeps itself up, and, waits being guesses, against declines while all goes well.
     fn kept(&mut self, now: Nanos, key: usize, wait: f64, strain: f64) -> bool {
         let value = self.schemes[usize::from(self.txns[key].txn.scheme)].value.max(1e-9);
         let most = self.schemes.iter().map(|scheme| scheme.value).fold(0.0, f64::max);
         // Forgotten if nothing starts: half in 1 s, or up to 3 s where few jobs are seen. Guards against
         // turning all away for ever, and against forgetting from one rare start to the next.
         let late = fade(self.late, self.lag_at, now, SECOND * self.rare);
-        // As far as txns of the highest value are turned away, a cheaper one's wait counts over the least room of those
-        // dearer. Guards against queues that long rooms can bear and in which nothing of more value can be in time.
+        // As far as txns of the highest value are turned away, a cheaper one's wait counts over the least
+        // room of those dearer. Guards against queues that only long rooms can bear.
         let room = |s: &Scheme| s.sla + (s.stretch - 1.0).max(0.0) * s.mean();
         let least = self.schemes.iter().filter(|s| s.value > value).map(room).fold(f64::INFINITY, f64::min);
         let strain = strain + self.turned * (wait / least - strain).max(0.0);
@@ -597,9 +597,9 @@
         hand.posted += 1;
         hand.stage = next(hand.stage, Input::Posted, hand.effect).0;
         acts.push(Action::Post { txn: hand.txn.id, worker: worker.id });
-        // Overdue: a start later than expected by 300 ms, or without start notes by twice the run.
-        // Others' jobs there are, by the lanes, of like size: where none was heard of, one may be ahead.
-        // Guards against taking for hung, among many dispatchers, what is only busy with others' work.
+        // Overdue: a start later than expected by 300 ms, or without start notes by twice the run. Others'
+        // jobs there are, by the lanes, of like size: where none was heard of, one may be ahead. Guards
+        // against taking for hung, among many dispatchers, what is only busy with others' work.
         let ahead = self.unseen * (1.0 - fade(1.0, worker.alive, now, SECOND));
         let run = if tells_start { ahead } else { 2.0 } * hand.run * worker.pace;
         let overdue = now + (cost.min(2.0 * SECOND) * 1.5 + run + 0.3 * SECOND) as Nanos;
@@ -674,10 +674,10 @@
         match outcome {
             Outcome::Settled => {
                 if let Some(from) = posting.started {
-                    // One job tells little of a worker's pace (its hint may be off): a tenth at a time, the first ones
-                    // more. Guards against a slow worker that few jobs of each dispatcher go to, and is long unknown.
+                    // One job tells little of a worker's pace (its hint may be off): a tenth at a time, the
+                    // first ones more. Guards against a slow worker to which each sends few jobs.
                     let pace = ((now - from) as f64 / run).clamp(0.2, 10.0);
-                    // A cold one is slow for another reason, and not for long: a tenth, and its kind is not told.
+                    // A cold one is slow for another reason: a tenth, and its kind is not told.
                     worker.paced = if warm { (worker.paced + 1.0).min(9.0) } else { 9.0 };
                     if pace > 2.0 * worker.pace {
                         sign = Share::sign_of(pace);
@@ -723,7 +723,7 @@
     }
 
     fn read_report(&mut self, now: Nanos, at: usize, report: Report) {
-        // No worker holds so many; what is not a number, or below none, is absurd too and counts as not reported.
+        // No worker holds so many; what is not a number, or below none, counts as not reported.
         let sane = |value: &f32| (0.0..1e4).contains(value);
         let values = &report.values[..report.count.min(report.values.len())];
         self.absurd += values.iter().filter(|value| !sane(value)).count() as u64;
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -172,7 +172,8 @@
     assert!((0..40).all(|part| least(part * 25 * MS) <= 10), "many call as one");
 }
 
-/// Guards against a cold worker pushed over by all together, and against parts of its budget in which no job fits.
+/// Guards against a cold worker pushed over by all together, and against parts of its budget in which no job
+/// fits.
 #[test_case(0, 0, 2_000 => 20; "a warm worker takes all")]
 #[test_case(100, 0, 2_000 => 1; "a cold one what fits into this one's part")]
 #[test_case(100, 3, 2_000 => 0; "nothing in others' turn")]
@@ -188,7 +189,8 @@
     posts.flatten().filter(|act| matches!(act, Action::Post { .. })).count()
 }
 
-/// Guards against a budget spent twice by a restart, and against an idle cold worker taken for as busy as the fleet.
+/// Guards against a budget spent twice by a restart, and against an idle cold worker taken for as busy as the
+/// fleet.
 #[test_case(2_000, 0.0 => false; "this window may have been spent before")]
 #[test_case(3_100, 0.0 => true; "the next one is its own")]
 #[test_case(3_100, 1.5 => true; "also while the fleet is jammed")]
@@ -201,7 +203,8 @@
         && d.txns.iter().any(|(_, hand)| hand.posted == 1)
 }
 
-/// Most of a large fleet's list is out of date. Guards against lanes that lead nowhere for as long as no one tells.
+/// Most of a large fleet's list is out of date. Guards against lanes that lead nowhere for as long as no one
+/// tells.
 #[test]
 fn a_worker_that_takes_no_connection_has_no_lane_for_a_while() {
     let mut d = among(100, 3, warm(60));
@@ -224,8 +227,9 @@
     assert_eq!(d.schemes[0].lanes[2], first);
 }
 
-/// Most of a large fleet is replaced at once. Guards against parts of a cold worker's budget in which no job fits,
-/// against ones that use the old and leave the new alone, and against more than the rule allows from all together.
+/// Most of a large fleet is replaced at once. Guards against parts of a cold worker's budget in which no job
+/// fits, against ones that use the old and leave the new alone, and against more than the rule allows from
+/// all together.
 #[test_case(100, 60, 36, 0.25; "most of the workers")]
 #[test_case(4, 10, 2, 0.05; "a few of each")]
 fn cold_workers_get_their_work_from_all_together(dispatchers: u32, workers: u8, replaced: u8, least: f64) {
@@ -553,7 +557,8 @@
                             assert!(first % 2 == n % 2 && now < since + 400 * MS, "outside group or window");
                         }
                         let work = d.txns[d.held[&txn]].work;
-                        // In hinted work a second, by the most that was ever believed: beliefs move meanwhile.
+                        // In hinted work a second, by the most that was ever believed: beliefs move
+                        // meanwhile.
                         unit = unit.max(d.unit);
                         cold.push((n, now, work));
                         let recent = |(m, at, _): &&(usize, Nanos, f64)| {
@@ -736,7 +741,8 @@
     assert!(d.workers.iter().any(|worker| worker.paced == 0.0));
 }
 
-/// Guards against turning txns away on a quiet day, as a slow worker leaves them little room: that is no queue.
+/// Guards against turning txns away on a quiet day, as a slow worker leaves them little room: that is no
+/// queue.
 #[test]
 fn what_a_slow_worker_makes_late_is_no_overload() {
     let mut d = dispatcher(1);
@@ -751,7 +757,8 @@
     assert_eq!(d.late, 0.0);
 }
 
-/// Guards against workers that fail by turns: what can be repeated finds out, and the rest keeps away for a while.
+/// Guards against workers that fail by turns: what can be repeated finds out, and the rest keeps away for a
+/// while.
 #[test_case(2, 1_000 => false; "once-only, soon after")]
 #[test_case(2, 60_000 => true; "once-only, a minute after")]
 #[test_case(1, 1_000 => true; "another scheme that may be repeated")]
@@ -782,7 +789,8 @@
     assert!(acts.contains(&Action::Say("2 absurd figures in reports".into())), "{acts:?}");
 }
 
-/// Guards against a jam kept up: where starts are late, what a slow worker leaves of a txn's room is what counts.
+/// Guards against a jam kept up: where starts are late, what a slow worker leaves of a txn's room is what
+/// counts.
 #[test_case(0.0 => true; "no start late: sent")]
 #[test_case(0.34 => false; "a third of the starts late: turned away")]
 fn a_slow_worker_with_a_queue_takes_less_where_starts_are_late(late: f64) -> bool {
@@ -795,8 +803,8 @@
     matches!(acts[..], [Action::Post { .. }])
 }
 
-/// Guards against taking a kind for slow whose first jobs ran on cold workers, and a cold one for as fast as hints say:
-/// where no worker is warm, its budget rests on its pace.
+/// Guards against taking a kind for slow whose first jobs ran on cold workers, and a cold one for as fast as
+/// hints say: where no worker is warm, its budget rests on its pace.
 #[test]
 fn a_cold_worker_tells_its_own_pace_a_little() {
     let mut d = dispatcher(1);
@@ -841,7 +849,8 @@
     assert_eq!((unseen, d.unit * 3.0), (1.0, 1.0));
 }
 
-/// Guards against a budget counted for twelve that many more keep to, where each keeps to eight workers however many share.
+/// Guards against a budget counted for twelve that many more keep to, where each keeps to eight workers
+/// however many share.
 #[test_case(false; "those who do not tell each other")]
 #[test_case(true; "those who do")]
 fn a_cold_workers_budget_is_kept_by_all_who_share_it(shares: bool) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -168,7 +168,8 @@
     /// Running time for one unit of hinted work, and how many jobs tell it, up to ten.
     pub pace: f64,
     pub paced: f64,
-    /// The pace by this dispatcher's own jobs alone, and what those that run longer than that show by now: the sum and how many.
+    /// The pace by this dispatcher's own jobs alone, and what those that run longer than that show by now:
+    /// the sum and how many.
     pub own_pace: f64,
     pub over: (f64, f64),
     pub trust: Trust,
@@ -235,8 +236,8 @@
         }
     }
 
-    /// Its pace by own jobs, one told by another counting as one of them. They count as two at least, as hints are rough:
-    /// guards against a worker taken for slow by one job that was.
+    /// Its pace by own jobs, one told by another counting as one of them. They count as two at least, as
+    /// hints are rough: guards against a worker taken for slow by one job that was.
     pub fn blend(&mut self, now: Nanos) {
         let told = self.fresh(now).filter_map(|told| told.pace);
         let (sum, count) = told.fold((0.0, 0.0), |(sum, count), pace| (sum + pace, count + 1.0));
--- a/src/types.rs
+++ b/src/types.rs
@@ -97,7 +97,8 @@
     pub halves: u8,
     /// In units of 16 ms.
     pub work: u16,
-    /// How it runs the teller's own jobs: `Share::UNKNOWN`, `Share::SILENT`, else its pace in 32nds of an octave around 128.
+    /// How it runs the teller's own jobs: `Share::UNKNOWN`, `Share::SILENT`, else its pace in 32nds of an
+    /// octave around 128.
     pub sign: u8,
 }
 
