--- a/crates/rosewalld/tests/daemon.rs
+++ b/crates/rosewalld/tests/daemon.rs
@@ -466,6 +466,9 @@
     let stage = stage(&[]);
     stage.discovery.until_watched();
     stage.daemon.reload("{", "the configuration stays as it was");
+    let mut wrong = configuration(&stage.discovery.address, 1024);
+    wrong["settings"]["Contract"]["ColdFrom"] = (-1).into();
+    stage.daemon.reload(&wrong.to_string(), "setting cold.from is out of range: -1");
     let new = Worker::start(&script(&[]));
     let discovery = Discovery::start(vec![host("c", &new.dial, "ready")]);
     stage.daemon.reload(&configuration(&discovery.address, 1024).to_string(), "a new configuration");
@@ -536,6 +539,21 @@
 #[test_case(Some("/nowhere/config.json"), "cannot read the configuration"; "missing")]
 #[test_case(Some("/dev/null"), "cannot use the configuration"; "unreadable")]
 fn without_a_configuration_it_ends_with_one_plain_message(path: Option<&str>, message: &str) {
+    ends_with_one_line(path, message);
+}
+
+/// Guards against a start with settings that mean something else than they were to.
+#[test]
+fn a_setting_that_is_wrong_is_named() {
+    let file = common::folder().join("config.json");
+    let mut wrong = configuration("127.0.0.1:1", 1024);
+    wrong["settings"]["Contract"]["FallNs"] = "soon".into();
+    std::fs::write(&file, wrong.to_string()).unwrap();
+    ends_with_one_line(file.to_str(), "setting fall.window cannot be read: \"soon\"");
+    std::fs::remove_dir_all(file.parent().unwrap()).unwrap();
+}
+
+fn ends_with_one_line(path: Option<&str>, message: &str) {
     let mut command = Command::new(env!("CARGO_BIN_EXE_rosewalld"));
     command.env_remove("PROXY_CONFIG");
     if let Some(path) = path {
