--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -483,9 +483,13 @@
 #[test_case(4, 1, 2; "one worker")]
 #[test_case(5, 200, 600; "a large fleet")]
 #[test_case(6, 60, 100; "cold starts at most of the workers kept to")]
+#[test_case(7, 6, 2; "with messages of any kind")]
+#[test_case(8, 60, 100; "with messages, a large fleet")]
 fn the_four_rules_hold(seed: u64, workers: u8, dispatchers: u32) {
     let (mut dice, mut acts) = (Pcg::new(seed), Vec::new());
     let mut d = among(dispatchers, 0, warm(workers));
+    d.shares = seed > 6;
+    d.keep_to(0);
     let fleet = usize::from(workers);
     let (mut standing, mut started) = (vec![Standing::Ready; fleet], vec![0; fleet]);
     let mut timers: Vec<(Nanos, u64)> = Vec::new();
@@ -503,6 +507,15 @@
             let entries = vec![entry(n as u8, standing[n], started[n])];
             events.push(Event::List { scope: Scope::Changes, entries });
         }
+        // Untrue, repeated, of workers that are not there, out of order: no rule rests on them.
+        while d.shares && dice.unit() < 0.6 {
+            let mut any = |below: f64| dice.unit() * below;
+            let from = any(f64::from(dispatchers)) as u16;
+            let worker = id(any(f64::from(workers) + 2.0) as u8);
+            let share =
+                Share { worker, halves: any(6.0) as u8, work: any(300.0) as u16, sign: any(256.0) as u8 };
+            events.push(Event::Shared { from, share });
+        }
         for (id, record) in &mut txns {
             let odds = dice.unit();
             assert!(record.answers > 0 || now <= record.expiry + 10 * MS, "a txn without its answer");
