Those who keep to a worker are counted off by rows; paces are blended when one changes

At fault: tell() asked of each of 132 dispatchers whether it keeps to the worker, Shared blended 31 told paces for each message.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -185,7 +185,6 @@
                 if let Some(&at) = self.known.get(&share.worker) {
                     let worker = &mut self.workers[at];
                     worker.hear(now, from, share);
-                    worker.blend(now);
                     // Guards against a hung worker that each dispatcher finds out with a txn of its own.
                     if share.sign == Share::SILENT && worker.alive + 300_000_000 < now {
                         worker.trust.add(now, Worker::HALF, 0.8);
@@ -249,15 +248,17 @@
         worker.said = Told { seats: out, work: ahead, at: now, ..said };
         let (pace, jobs) = worker.seen_pace();
         let sign = if sign != Share::SILENT && jobs > 0.0 { Share::sign_of(pace) } else { sign };
-        let (halves, work) = ((2.0 * out).ceil() as u8, (ahead / 16e6) as u16);
-        let share = Share { worker: id, halves, work, sign };
+        let share = Share { worker: id, halves: (2.0 * out).ceil() as u8, work: (ahead / 16e6) as u16, sign };
         let (me, all) = (self.says("me") as usize, self.dispatchers as usize);
         let place = |s: &Scheme| Some((s.all.iter().position(|worker| *worker == at)?, s.all.len()));
         let Some((place, n)) = self.schemes.iter().find_map(place) else { return };
         let m = self.stretches(n);
         let lane = (0..m).rfind(|lane| lane * n / m <= place).unwrap_or(0);
-        let keeps = |to: &usize| *to != me && kept(*to, lane, m, n) == place;
-        acts.extend((0..all).filter(keeps).map(|to| Action::Tell { to: to as u16, share }));
+        // As `kept` has it, one of each `len` dispatchers in a row.
+        let (from, len) = (lane * n / m, (lane + 1) * n / m - lane * n / m);
+        let of = |row: usize| row * len + (place - from + len - lane * row % len) % len;
+        let others = (0..=all / len).map(of).filter(|to| *to < all && *to != me);
+        acts.extend(others.map(|to| Action::Tell { to: to as u16, share }));
     }
 
     fn survey(&mut self, now: Nanos) {
@@ -393,8 +394,7 @@
     /// take different workers of a stretch. Guards against parts in which no job fits.
     fn turn(&self, worker: &Worker, now: Nanos) -> (f64, f64) {
         let (warmth, window) = (self.warmth(worker, now), self.says("fall.window").max(1.0));
-        // Half of what is allowed: a third may come from those who have not heard of its start, the rest is
-        // for hints.
+        // Half of what is allowed: a third may come from those not told of its start, the rest is for hints.
         let most = 0.5 * self.says("fall.multiple") * self.unit * worker.size * warmth * window;
         let turns = if self.shares { self.sharers.ceil() } else { SHARERS }.min(self.dispatchers);
         // Two have a turn at once, and more as it warms, as one has few txns in a window; the part of each
--- a/src/state.rs
+++ b/src/state.rs
@@ -230,9 +230,16 @@
         let Share { halves, work, .. } = share;
         let (seats, work, pace) = (f64::from(halves) / 2.0, f64::from(work) * 16e6, share.pace());
         let told = Told { from, seats, work, pace, at: now };
-        match self.theirs.iter_mut().find(|told| told.from == from) {
-            Some(known) => *known = told,
-            None => self.theirs.push(told),
+        let before = match self.theirs.iter_mut().find(|told| told.from == from) {
+            Some(known) => std::mem::replace(known, told).pace,
+            None => {
+                self.theirs.push(told);
+                None
+            }
+        };
+        // Most messages tell no other pace than the one before.
+        if pace != before {
+            self.blend(now);
         }
     }
 
