--- a/src/state.rs
+++ b/src/state.rs
@@ -520,7 +520,8 @@
                 worker.ahead += hand.need * (hand.run * worker.pace - age).max(0.3 * age);
                 if let Some(started) = posting.started {
                     let over = (age / hand.run.max(1e6)).min(10.0);
-                    if over > worker.own_pace {
+                    // Hints are rough: one that runs long tells little alone, many do, where others tell theirs.
+                    if self.shares && over > worker.own_pace {
                         worker.over = (worker.over.0 + over, worker.over.1 + 1.0);
                     }
                     // What an earlier process ran is lost. Guards against taking its jobs for more seats.
