--- a/crates/wire/src/tests.rs
+++ b/crates/wire/src/tests.rs
@@ -282,23 +282,10 @@
 #[test_case(|bytes| bytes[4] = 1, 7000 => false; "of a number with another address")]
 #[test_case(|_| (), 7009 => false; "of a stranger")]
 fn datagrams_are_read(spoil: fn(&mut Vec<u8>), port: u16) -> bool {
-    let share = Share {
-        worker: WorkerId { addr: [10, 1, 2, 3], port: 4 },
-        halves: 5,
-        work: 600,
-        sign: Share::sign_of(2.0),
-    };
+    let worker = WorkerId { addr: [10, 1, 2, 3], port: 4 };
+    let share = Share { worker, halves: 5, work: 600, sign: 7 };
     let mut bytes = super::talk::datagram(0, &share).to_vec();
     spoil(&mut bytes);
     let at = |port| std::net::SocketAddr::from(([127, 0, 0, 1], port));
     super::talk::read(&bytes, at(port), &[at(7000), at(7001)]) == Ok((0, share))
 }
-
-proptest::proptest! {
-    #[test]
-    fn any_datagram_is_read_or_dropped(bytes: Vec<u8>, port: u16) {
-        let at = std::net::SocketAddr::from(([127, 0, 0, 1], port));
-        let read = super::talk::read(&bytes, at, &[at]);
-        proptest::prop_assert!(read.is_err() || bytes == super::talk::datagram(0, &read.unwrap().1));
-    }
-}
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -100,12 +100,6 @@
     if present(high) && high > low { (r, 0.0, 0.2) } else { (r, 0.4, 0.0) }
 }
 
-/// Of `n` workers in id order, cut into `m` stretches: the one of a stretch that a dispatcher keeps to.
-fn kept(me: usize, lane: usize, m: usize, n: usize) -> usize {
-    let (from, len) = (lane * n / m, (lane + 1) * n / m - lane * n / m);
-    from + (me + lane * (me / len)) % len
-}
-
 impl Worker {
     /// Distrust halves in 5 s: several times the time between postings to one worker at low traffic.
     const HALF: f64 = 5.0 * SECOND;
@@ -213,7 +207,7 @@
         }
         for at in 0..if self.shares { self.workers.len() } else { 0 } {
             if self.workers[at].out > 0.0 {
-                self.tell(now, at, Share::UNKNOWN, acts);
+                self.tell(now, at, false, false, acts);
             }
         }
         for w in &mut self.workers {
@@ -234,7 +228,7 @@
     /// Tells those who keep to a worker what this dispatcher has out there and how it runs, as far as they
     /// would be wrong: they let go on by themselves what they were told. Guards against what a partial view
     /// costs: each takes for free what another has just filled, and finds out by itself who is slow.
-    fn tell(&mut self, now: Nanos, at: usize, sign: u8, acts: &mut Vec<Action>) {
+    fn tell(&mut self, now: Nanos, at: usize, due: bool, silent: bool, acts: &mut Vec<Action>) {
         if !self.shares {
             return;
         }
@@ -242,19 +236,20 @@
         let worker = &mut self.workers[at];
         let Worker { id, out, ahead, said, .. } = *worker;
         let right = (ahead - said.left(now, worker.seats).1).abs() <= TELL_FROM * self.mean;
-        if sign == Share::UNKNOWN && right && (out == 0.0 || now < said.at + TELL_EVERY) {
+        if !due && right && (out == 0.0 || now < said.at + TELL_EVERY) {
             return;
         }
         worker.said = Told { seats: out, work: ahead, at: now, ..said };
         let (pace, jobs) = worker.seen_pace();
-        let sign = if sign != Share::SILENT && jobs > 0.0 { Share::sign_of(pace) } else { sign };
+        let known = if jobs > 0.0 { Share::sign_of(pace) } else { Share::UNKNOWN };
+        let sign = if silent { Share::SILENT } else { known };
         let share = Share { worker: id, halves: (2.0 * out).ceil() as u8, work: (ahead / 16e6) as u16, sign };
         let (me, all) = (self.says("me") as usize, self.dispatchers as usize);
         let place = |s: &Scheme| Some((s.all.iter().position(|worker| *worker == at)?, s.all.len()));
         let Some((place, n)) = self.schemes.iter().find_map(place) else { return };
         let m = self.stretches(n);
         let lane = (0..m).rfind(|lane| lane * n / m <= place).unwrap_or(0);
-        // As `kept` has it, one of each `len` dispatchers in a row.
+        // By the turns of `keep_to` one of each `len` dispatchers in a row.
         let (from, len) = (lane * n / m, (lane + 1) * n / m - lane * n / m);
         let of = |row: usize| row * len + (place - from + len - lane * row % len) % len;
         let others = (0..=all / len).map(of).filter(|to| *to < all && *to != me);
@@ -364,7 +359,7 @@
             let pick = |lane: usize| {
                 let among = &all[lane * n / m..(lane + 1) * n / m];
                 let (len, block) = (among.len(), me / among.len());
-                let turn = kept(me, lane, m, n) - lane * n / m;
+                let turn = (me + lane * block) % len;
                 // In place of one that takes no connection another of its stretch, each block of dispatchers
                 // its own, but none that is cold: its turns count on who keeps to it. Guards against lanes
                 // that lead nowhere for as long as no one tells that their workers are gone.
@@ -604,7 +599,7 @@
         let run = if tells_start { ahead } else { 2.0 } * hand.run * worker.pace;
         let overdue = now + (cost.min(2.0 * SECOND) * 1.5 + run + 0.3 * SECOND) as Nanos;
         acts.push(Action::Timer { at: overdue, token });
-        self.tell(now, at, Share::UNKNOWN, acts);
+        self.tell(now, at, false, false, acts);
     }
 
     fn started(&mut self, now: Nanos, txn: TxnId, leg: u8, acts: &mut Vec<Action>) {
@@ -647,7 +642,7 @@
         worker.trust.add(now, Worker::HALF, by);
         if silent {
             worker.silent = true;
-            self.tell(now, posting.worker, Share::SILENT, acts);
+            self.tell(now, posting.worker, true, true, acts);
         }
         let age = now - posting.started.unwrap_or(posting.at);
         acts.push(Action::Timer { at: now + age.max(300_000_000), token });
@@ -661,7 +656,7 @@
         let InHand { run, due, txn: Txn { scheme, .. }, .. } = self.txns[key];
         let scheme = usize::from(scheme);
         let warm = self.warmth(&self.workers[posting.worker], now) >= 1.0;
-        let mut sign = Share::UNKNOWN;
+        let mut slow = false;
         let worker = &mut self.workers[posting.worker];
         if outcome == Outcome::NoConnection {
             worker.refused(now);
@@ -679,9 +674,7 @@
                     let pace = ((now - from) as f64 / run).clamp(0.2, 10.0);
                     // A cold one is slow for another reason: a tenth, and its kind is not told.
                     worker.paced = if warm { (worker.paced + 1.0).min(9.0) } else { 9.0 };
-                    if pace > 2.0 * worker.pace {
-                        sign = Share::sign_of(pace);
-                    }
+                    slow = pace > 2.0 * worker.pace;
                     worker.own_pace += (pace - worker.own_pace) / (worker.paced + 1.0);
                     worker.blend(now);
                     if warm {
@@ -703,7 +696,7 @@
             Outcome::NoConnection | Outcome::Broken => worker.trust.add(now, Worker::HALF, 0.6),
             Outcome::Full | Outcome::Unfit | Outcome::Withdrawn | Outcome::Moot => {}
         }
-        self.tell(now, posting.worker, sign, acts);
+        self.tell(now, posting.worker, slow, false, acts);
         if outcome == Outcome::NoConnection {
             self.keep_to(now);
         }
