A rig: processes of the program on loopback, faults between them, a judge

The judge reads what workers were sent and ran and what clients got. tests/common is part of it now; the daemon takes a wall clock that is off (ROSEWALL_SKEW_MS). One daemon test (a connection that breaks before the last byte) failed once in nine runs while other work ran beside it; not seen alone.

--- /dev/null
+++ b/crates/rig/src/error.rs
@@ -0,0 +1,33 @@
+//! What can go wrong in the rig itself, each with what to do about it.
+use std::io;
+use std::path::PathBuf;
+
+#[derive(Debug, thiserror::Error)]
+pub enum RigError {
+    #[error(
+        "RW-RIG-PROGRAM: {path} is not there; build it first (cargo build -p rosewalld) or name it in ROSEWALL_PROGRAM"
+    )]
+    Program { path: PathBuf },
+    #[error(
+        "RW-RIG-START: dispatcher {at} was not ready within {seconds} s; its log ends with {last:?}; run fewer processes, or look at that line"
+    )]
+    Start { at: usize, seconds: u64, last: String },
+    #[error(
+        "RW-RIG-SPAWN: dispatcher {at} could not be started; raise the limits on processes and descriptors"
+    )]
+    Spawn { at: usize, source: io::Error },
+    #[error(
+        "RW-RIG-SOCKET: no loopback socket; raise the limit on descriptors (ulimit -n) or run fewer processes"
+    )]
+    Socket(#[source] io::Error),
+    #[error("RW-RIG-FOLDER: {path} cannot be written; free the disk or point TMPDIR elsewhere")]
+    Folder { path: PathBuf, source: io::Error },
+    #[error("RW-RIG-READ: {path} cannot be read; check the path")]
+    Read { path: PathBuf, source: io::Error },
+    #[error(
+        "RW-RIG-SCENARIO: {path} is no scenario: {source}; `rosewall-rig draw 1` prints one to start from"
+    )]
+    Scenario { path: PathBuf, source: toml::de::Error },
+    #[error("RW-RIG-RANGE: {what} is {value}, allowed is {allowed}; change it in the scenario")]
+    Range { what: &'static str, value: u64, allowed: &'static str },
+}
--- a/crates/rosewalld/tests/common/mod.rs
+++ b/crates/rig/src/stand.rs
@@ -1,4 +1,5 @@
-//! Stand-ins for clients, workers and discovery, and the program between them.
+//! Stand-ins for clients, workers and discovery, and the program between them: what the tests of one process use.
+//! They panic where a test could not go on.
 use serde_json::{Value, json};
 use std::collections::VecDeque;
 use std::io::{BufRead, BufReader, Read, Write};
@@ -187,6 +188,8 @@
     calls: u32,
     /// Sent once in place of a list.
     garbage: Option<&'static str>,
+    /// Whether `hosts` is the whole list as it is now, for whoever missed a change.
+    keeps: bool,
 }
 
 #[derive(Clone)]
@@ -226,8 +229,9 @@
         if board.down {
             return None;
         }
-        let hosts = if index.is_some() { &board.changed } else { &board.hosts };
-        let list = json!({"seq": board.seq, "whole": index.is_none(), "hosts": hosts}).to_string();
+        let whole = index.is_none_or(|index| board.keeps && index + 1 < board.seq);
+        let hosts = if whole { &board.hosts } else { &board.changed };
+        let list = json!({"seq": board.seq, "whole": whole, "hosts": hosts}).to_string();
         let text = board.garbage.take().map_or(list, str::to_string);
         let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{text}", text.len());
         stream.write_all(answer.as_bytes()).ok()
@@ -245,6 +249,14 @@
         assert!(!late.timed_out(), "discovery was not called");
     }
 
+    /// Puts up changes, and the whole list for those who come new; waits for no one.
+    pub fn put(&self, changed: Vec<Value>, all: Vec<Value>) {
+        self.change(|board| {
+            (board.seq, board.keeps) = (board.seq + 1, true);
+            (board.changed, board.hosts) = (changed, all);
+        });
+    }
+
     /// Puts up changes, and waits until the program has read them.
     pub fn tell(&self, hosts: Vec<Value>) {
         let mut seq = 0;
@@ -343,13 +355,8 @@
         let folder = folder();
         let file = folder.join("config.json");
         std::fs::write(&file, configuration.to_string()).unwrap();
-        let command = format!("{first}\nexec {}", env!("CARGO_BIN_EXE_rosewalld"));
-        let mut child = Command::new("/bin/sh")
-            .args(["-c", &command])
-            .env("PROXY_CONFIG", &file)
-            .stderr(Stdio::piped())
-            .spawn()
-            .unwrap();
+        let mut child =
+            crate::process::command(first).env("PROXY_CONFIG", &file).stderr(Stdio::piped()).spawn().unwrap();
         let log: Arc<(Mutex<Vec<String>>, Condvar)> = Arc::default();
         let (kept, errors) = (log.clone(), child.stderr.take().unwrap());
         thread::spawn(move || {
--- a/crates/rosewalld/src/ground.rs
+++ b/crates/rosewalld/src/ground.rs
@@ -21,7 +21,11 @@
 impl Sockets {
     pub fn new(ex: Rc<LocalExecutor<'static>>) -> Self {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Sockets { ex, base: Instant::now(), unix: u64::try_from(unix.as_nanos()).unwrap_or_default() }
+        let unix = u64::try_from(unix.as_nanos()).unwrap_or_default();
+        // For tests: a wall clock that is off by so many ms.
+        let skew = std::env::var("ROSEWALL_SKEW_MS").ok().and_then(|ms| ms.parse::<i32>().ok()).unwrap_or(0);
+        let unix = unix.saturating_add_signed(i64::from(skew) * 1_000_000);
+        Sockets { ex, base: Instant::now(), unix }
     }
 }
 
--- a/crates/rosewalld/tests/daemon.rs
+++ b/crates/rosewalld/tests/daemon.rs
@@ -1,8 +1,7 @@
 //! The program as it is started, spoken to over sockets.
-mod common;
 mod mixed;
 
-use common::{
+use rosewall_rig::stand::{
     Act, Client, Daemon, Discovery, Worker, configuration, counter_in, host, request, script,
     vanished_machine,
 };
--- a/crates/rosewalld/tests/mixed/mod.rs
+++ b/crates/rosewalld/tests/mixed/mod.rs
@@ -1,5 +1,5 @@
 //! Dispatchers of the old shape, without talk, and of the new before the same workers.
-use crate::common::{Client, Daemon, Discovery, configuration, field, host, listen, message, request};
+use rosewall_rig::stand::{Client, Daemon, Discovery, configuration, field, host, listen, message, request};
 use std::io::{BufReader, Read, Write};
 use std::net::{TcpStream, UdpSocket};
 use std::sync::{Arc, Condvar, Mutex};
