--- a/crates/cluster/src/file.rs
+++ b/crates/cluster/src/file.rs
@@ -4,7 +4,7 @@
 use rosewall::types::Nanos;
 use std::collections::BTreeMap;
 use std::net::{IpAddr, SocketAddr};
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use toml::{Spanned, Value};
 
 /// How one dispatcher joins the others.
@@ -98,12 +98,7 @@
     value.as_array()?.iter().map(one).collect()
 }
 
-pub fn load(path: &Path) -> Result<Joining, ClusterError> {
-    let text = std::fs::read_to_string(path)
-        .map_err(|source| ClusterError::Unread { path: PathBuf::from(path), source })?;
-    read(path, &text)
-}
-
+/// Reads the file's text; `path` is for what is said of it.
 pub fn read(path: &Path, text: &str) -> Result<Joining, ClusterError> {
     let mut file = File { path, text, table: Table::new() };
     file.table = toml::from_str(text).map_err(|fault| ClusterError::Syntax {
--- a/crates/cluster/src/rights.rs
+++ b/crates/cluster/src/rights.rs
@@ -11,11 +11,9 @@
 const MS: Nanos = 1_000_000;
 /// Works are whole ms of one seat on the way.
 pub const UNIT: Nanos = MS;
-/// A right lasts this part of the window: long enough that a txn comes to use it, short as what a window holds is shared
-/// with as much of the next.
-const PART: Nanos = 6;
-/// One asked for and not given is asked for again so soon, at most.
-const AGAIN: Nanos = 40 * MS;
+/// A right lasts so long, or half a window: it is asked for by a txn that waits for it. Short, as what a window holds is
+/// shared with as much of the next; but longer than the way there and back between distant rooms.
+const LASTS: Nanos = 100 * MS;
 /// So many may be asked for in a second by one process.
 pub const WANTS_A_SECOND: u64 = 200;
 
@@ -51,7 +49,7 @@
 
     /// How long a right lasts, of a window so long.
     pub fn lasts(window: Nanos) -> Nanos {
-        (window / PART).clamp(50 * MS, 500 * MS).min(window)
+        LASTS.min(window / 2)
     }
 
     /// Gives a right, or none (0). `held` is since when the lease is held: what another gave before it must be over.
@@ -129,9 +127,6 @@
     /// The number to ask under, if it is time to ask for this.
     pub fn want(&mut self, now: Nanos, worker: WorkerId, work: Nanos) -> Option<u32> {
         self.asked.retain(|asked| now < asked.at + 1_000 * MS);
-        if self.asked.iter().any(|asked| asked.worker == worker && now < asked.at + AGAIN) {
-            return None;
-        }
         if now >= self.second.0 + 1_000 * MS {
             self.second = (now, 0);
         }
--- a/crates/cluster/src/tests.rs
+++ b/crates/cluster/src/tests.rs
@@ -176,6 +176,12 @@
     assert_eq!(joining.seeds, ["10.0.0.2:7946".parse().unwrap()]);
 }
 
+#[test]
+fn the_example_under_deploy_is_one() {
+    let text = include_str!("../../../deploy/cluster.toml");
+    assert_eq!(read(Path::new("cluster.toml"), text).unwrap().keepers, ["n1", "n2", "n3"]);
+}
+
 #[test_case("seedz = []", "c.toml:6: no key is called \"seedz\", the nearest is \"seeds\""; "unknown key")]
 #[test_case("keepers = [\"a\", \"b\"]", "c.toml:6: keepers are 2"; "two keepers")]
 #[test_case("keepers = [\"a\", \"a\", \"b\"]", "c.toml:6: keepers are 2"; "one keeper twice")]
--- a/crates/drive/src/ground.rs
+++ b/crates/drive/src/ground.rs
@@ -55,7 +55,8 @@
     fn until(&self, at: Nanos) -> impl Future<Output = ()>;
     /// Runs work beside the caller's; dropping the task ends it, with all that it holds.
     fn spawn(&self, work: impl Future<Output = ()> + 'static) -> Task<()>;
-    fn mail(&self, at: SocketAddr) -> io::Result<Self::Mail>;
+    /// Where datagrams come in; `through`: a relay that all go by, each with the other side's address before it.
+    fn mail(&self, at: SocketAddr, through: Option<SocketAddr>) -> io::Result<Self::Mail>;
     fn connect(&self, to: SocketAddr) -> impl Future<Output = io::Result<Self::Stream>>;
 }
 
--- a/crates/drive/src/hub.rs
+++ b/crates/drive/src/hub.rs
@@ -1,7 +1,6 @@
 //! Drives the hub: hands it what came in and what is due, and carries out what it says.
 use crate::ground::Ground;
 use crate::shared::{News, Shared};
-use crate::talk;
 use crate::worker;
 use async_channel::{Receiver, Sender};
 use async_executor::Task;
@@ -99,6 +98,8 @@
             }
             News::Probed(probed) => Input::Probed(probed),
             News::Shared { from, share } => Input::Shared { from, share },
+            News::View(place) => Input::View(place),
+            News::Right { worker, work, until } => Input::Right { worker, work, until },
             News::List(listing) => Input::List(listing),
             News::ListFailed => Input::ListFailed,
             News::Stop(by) => Input::Stop(by),
@@ -150,7 +151,24 @@
                 shared.ground.spawn(worker::sound(shared.clone(), worker, dial, host, limit)).detach();
             }
             Effect::Void { worker, dial } => shared.pool.borrow_mut().drop_worker(worker, dial),
-            Effect::Tell { to, share } => talk::tell(shared, to, &share),
+            Effect::Tell { to, share } => {
+                let now = shared.ground.now();
+                match (&shared.members, &shared.talk) {
+                    (Some(members), _) => members.tell(now, to, share),
+                    (None, Some(talk)) => talk.tell(now, &shared.counters, to, &share),
+                    (None, None) => shared.counters.told_lost.add(),
+                }
+            }
+            Effect::Want { worker, work } => {
+                if let Some(members) = &shared.members {
+                    members.want(shared.ground.now(), worker, work);
+                }
+            }
+            Effect::Joint { worker, work, window } => {
+                if let Some(members) = &shared.members {
+                    members.joint(worker, work, window);
+                }
+            }
             Effect::Follow => {
                 if let Some(leave) = &self.leave {
                     let _ = leave.try_send(());
--- a/crates/drive/src/lib.rs
+++ b/crates/drive/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod discovery;
 pub mod ground;
 pub mod hub;
+pub mod members;
 pub mod node;
 pub mod shared;
 pub mod talk;
--- /dev/null
+++ b/crates/drive/src/members.rs
@@ -0,0 +1,141 @@
+//! Drives what this dispatcher is to the others: datagrams in and out, and what is due.
+use crate::ground::{Ground, Mail};
+use async_channel::{Receiver, Sender};
+use futures_lite::FutureExt;
+use futures_lite::future::yield_now;
+use rosewall::types::{Nanos, Share, WorkerId};
+use rosewall_cluster::node::{Cluster, Effect, Line};
+use rosewall_cluster::wire::MOST;
+use rosewall_node::counters::Counters;
+use rosewall_node::pace::Pace;
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+
+/// Datagrams a second that are heard: several times what a thousand members send to one that gives rights.
+const A_SECOND: u64 = 20_000;
+
+/// What the decisions are to hear.
+pub enum Heard {
+    View(Option<(u16, u16)>),
+    Right { worker: WorkerId, work: Nanos, until: Nanos },
+    Shared { from: u16, share: Share },
+}
+
+pub struct Members<M> {
+    mail: M,
+    cluster: RefCell<Cluster>,
+    counters: Rc<Counters>,
+    heard: Box<dyn Fn(Heard)>,
+    /// Wakes the one that waits for what is due, where that is sooner than it was.
+    sooner: (Sender<()>, Receiver<()>),
+    waits: Cell<Nanos>,
+}
+
+impl<M: Mail> Members<M> {
+    pub fn new(mail: M, cluster: Cluster, counters: Rc<Counters>, heard: impl Fn(Heard) + 'static) -> Self {
+        let sooner = async_channel::bounded(1);
+        let (cluster, waits) = (RefCell::new(cluster), Cell::new(0));
+        Members { mail, cluster, counters, heard: Box::new(heard), sooner, waits }
+    }
+
+    /// Lets the machine act and carries out what it says.
+    fn act(&self, act: impl FnOnce(&mut Cluster, &mut Vec<Effect>)) {
+        let mut effects = Vec::new();
+        act(&mut self.cluster.borrow_mut(), &mut effects);
+        for effect in effects {
+            match effect {
+                Effect::Send { to, bytes } => match self.mail.send(&bytes, to) {
+                    Ok(()) => self.counters.members_sent.add(),
+                    Err(_) => self.counters.members_lost.add(),
+                },
+                Effect::View(place) => (self.heard)(Heard::View(place)),
+                Effect::Right { worker, work, until } => {
+                    self.counters.rights_got.add();
+                    (self.heard)(Heard::Right { worker, work, until });
+                }
+                Effect::Heard { from, share } => {
+                    self.counters.heard.add();
+                    (self.heard)(Heard::Shared { from, share });
+                }
+                Effect::Say(Line::Info(text)) => log::info!("{text}"),
+                Effect::Say(Line::Error(text)) => log::error!("{text}"),
+            }
+        }
+        if self.cluster.borrow().next_due() < self.waits.get() {
+            let _ = self.sooner.0.try_send(());
+        }
+    }
+
+    pub fn tell(&self, now: Nanos, to: u16, share: Share) {
+        self.counters.told.add();
+        self.act(|cluster, _| cluster.tell(now, to, share));
+    }
+
+    pub fn want(&self, now: Nanos, worker: WorkerId, work: Nanos) {
+        self.counters.rights_wanted.add();
+        self.act(|cluster, effects| cluster.want(now, worker, work, effects));
+    }
+
+    pub fn joint(&self, worker: WorkerId, work: Nanos, window: Nanos) {
+        log::debug!("joint worker={worker} work={work} window={window}");
+        self.act(|cluster, _| cluster.joint(worker, work, window));
+    }
+
+    pub fn leave(&self, now: Nanos) {
+        self.act(|cluster, effects| cluster.leave(now, effects));
+    }
+
+    /// Hears and does what is due, for ever.
+    pub async fn run<G: Ground>(&self, ground: &G) {
+        // Room for one byte more than is allowed, so that one too long is seen to be.
+        let (mut pace, mut bytes) = (Pace::new(A_SECOND), [0; MOST + 1]);
+        loop {
+            let next = self.cluster.borrow().next_due();
+            self.waits.set(next);
+            let came = async { Some(self.mail.receive(&mut bytes).await) };
+            let due = async {
+                ground.until(next).await;
+                None
+            };
+            let sooner = async {
+                let _ = self.sooner.1.recv().await;
+                None
+            };
+            let came = came.or(due).or(sooner).await;
+            let now = ground.now();
+            if let Some(Ok((length, from))) = came {
+                if pace.allows(now) {
+                    self.counters.members_heard.add();
+                    self.act(|cluster, effects| cluster.feed(now, from, &bytes[..length], effects));
+                } else {
+                    self.counters.members_lost.add();
+                }
+            }
+            if self.cluster.borrow().next_due() <= now {
+                self.act(|cluster, effects| cluster.due(now, effects));
+            }
+            // Guards against a flood of them that leaves no one else a turn.
+            yield_now().await;
+        }
+    }
+}
+
+/// For the log, beside the counters.
+impl<M> std::fmt::Display for Members<M> {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let cluster = self.cluster.borrow();
+        let (members, counts) = (cluster.members(), cluster.counts);
+        let (rank, count) = cluster.view().map_or((0, 0), |(rank, count)| (rank, count));
+        write!(
+            f,
+            "members: rank={rank} count={count} digest={:08x} incarnation={}",
+            members.digest(),
+            members.me.incarnation
+        )?;
+        write!(f, " bytes={} malformed={}", counts.sent_bytes, counts.malformed)?;
+        write!(f, " other_version={} other_cluster={}", counts.other_version, counts.other_cluster)?;
+        write!(f, " suspected={} refuted={}", members.counts.suspected, members.counts.refuted)?;
+        write!(f, " rights_given={} rights_short={}", cluster.giver.given, cluster.giver.short)?;
+        write!(f, " rights_late={} words_bounded={}", cluster.holder.late, cluster.hearing.bounded)
+    }
+}
--- a/crates/drive/src/node.rs
+++ b/crates/drive/src/node.rs
@@ -3,19 +3,23 @@
 use crate::discovery;
 use crate::ground::{Ground, nanos, pause};
 use crate::hub::HubDriver;
+use crate::members::{Heard, Members};
 use crate::shared::{News, Shared};
-use crate::talk::{self, Talk};
+use crate::talk::Talk;
 use async_channel::Sender;
 use async_executor::Task;
 use futures_lite::FutureExt;
 use rosewall::pick;
 use rosewall::policy::Dispatcher;
 use rosewall::types::Nanos;
+use rosewall_cluster::error::ClusterError;
+use rosewall_cluster::node::Cluster;
 use rosewall_node::budget::Budget;
 use rosewall_node::counters::Counters;
 use rosewall_node::given::{self, Given, SPARE, stop_within};
 use rosewall_node::hub::Hub;
 use rosewall_node::pool::Pool;
+use rosewall_node::workers::Workers;
 use rosewall_wire::discovery::{Listing, listing};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -54,7 +58,7 @@
         let report = map.get("report.theirs").map(String::as_str).unwrap_or_default();
         let talk = match &given.talk {
             Some(talk) => {
-                let mail = ground.mail(talk.listen);
+                let mail = ground.mail(talk.listen, None);
                 let mail = mail.map_err(|error| format!("cannot listen on {}: {error}", talk.listen))?;
                 Some(Talk::new(mail, pick(map, "me")?, talk.peers.clone()))
             }
@@ -62,6 +66,29 @@
         };
         let (tell, news) = async_channel::unbounded();
         let counters = Rc::new(Counters::default());
+        let members = match &given.joining {
+            Some(joining) => {
+                let listen = joining.listen;
+                let mail = ground.mail(listen, joining.through);
+                let mail = mail.map_err(|source| ClusterError::Listen { listen, source }.line())?;
+                let cluster = Cluster::new(joining, now, given.seed ^ now);
+                let tell: Sender<News<G>> = tell.clone();
+                let heard = move |heard| {
+                    // The hub outlives the members' driver but for the very end.
+                    let _ = tell.try_send(match heard {
+                        Heard::View(place) => News::View(place),
+                        Heard::Right { worker, work, until } => News::Right { worker, work, until },
+                        Heard::Shared { from, share } => News::Shared { from, share },
+                    });
+                };
+                Some(Members::new(mail, cluster, counters.clone(), heard))
+            }
+            None => None,
+        };
+        let workers = match &given.joining {
+            Some(joining) => Workers::by_own_clock(joining.clocks, pick(map, "cold.time").unwrap_or(0)),
+            None => Workers::default(),
+        };
         let shared = Rc::new(Shared {
             ground,
             report: report.split(',').filter(|word| !word.is_empty()).map(str::to_string).collect(),
@@ -76,10 +103,11 @@
             news: tell,
             names,
             talk,
+            members,
         });
         let asked = map.get("list.mode").is_some_and(|mode| mode == "asked");
         let (leave, left) = async_channel::unbounded();
-        let hub = Hub::new(dispatcher, counters, connect_within);
+        let hub = Hub::new(dispatcher, counters, connect_within, workers);
         let mut hub = HubDriver::new(shared.clone(), news, hub, asked.then_some(leave));
         let from = (asked && !kept.hosts.is_empty()).then_some(kept.seq);
         hub.kept(kept);
@@ -88,7 +116,15 @@
         let leave = asked.then_some(left);
         let list = discovery::follow(shared.clone(), given.discovery, moves, leave, from);
         let list = shared.ground.spawn(list);
-        let hearing = shared.ground.spawn(talk::hear(shared.clone()));
+        let hears = shared.clone();
+        let hearing = shared.ground.spawn(async move {
+            if let Some(members) = &hears.members {
+                members.run(&hears.ground).await;
+            } else if let Some(talk) = &hears.talk {
+                let tell = |from, share| hears.tell(News::Shared { from, share });
+                talk.hear(&hears.ground, &hears.counters, tell).await;
+            }
+        });
         let (end, ended) = async_channel::bounded(1);
         let accepting = shared.ground.spawn(client::accept(shared.clone(), door, ended));
         Ok(Node { shared, given, hub, list, accepting, _hearing: hearing, end, mover })
@@ -103,9 +139,10 @@
     /// Takes in the configuration anew: where discovery is, and the limits. Guards against an end of the program at the
     /// signal, and against a list of workers that no longer changes.
     pub fn reload(&self, given: &Given) {
-        let as_started = |given: &Given| (given.listen, given.talk.clone(), given.map.clone());
+        let as_started =
+            |given: &Given| (given.listen, given.talk.clone(), given.joining.clone(), given.map.clone());
         if as_started(given) != as_started(&self.given) {
-            log::warn!("a new listen address, talk and settings act from the next start only");
+            log::warn!("a new listen address, talk, cluster and settings act from the next start only");
         }
         self.shared.budget.limit(given.sockets, given.memory_mb);
         let _ = self.mover.try_send(given.discovery);
@@ -117,6 +154,9 @@
         let shared = &self.shared;
         let by = shared.ground.now() + stop_within(&self.given.map);
         shared.stopping.set(true);
+        if let Some(members) = &shared.members {
+            members.leave(shared.ground.now());
+        }
         shared.tell(News::Stop(by));
         pause(&shared.ground, LISTEN_ON).await;
         drop(self.end);
--- a/crates/drive/src/shared.rs
+++ b/crates/drive/src/shared.rs
@@ -1,5 +1,6 @@
 //! What the drivers and the hub all reach: the clock, names, counters, descriptors, and the way to the hub.
 use crate::ground::{Ground, Look, Stream};
+use crate::members::Members;
 use crate::talk::Talk;
 use async_channel::Sender;
 use rosewall::types::{Nanos, Probed, Share, TxnId, WorkerId};
@@ -46,6 +47,12 @@
         conn: Conn<G::Stream>,
     },
     Probed(Probed),
+    View(Option<(u16, u16)>),
+    Right {
+        worker: WorkerId,
+        work: Nanos,
+        until: Nanos,
+    },
     Shared {
         from: u16,
         share: Share,
@@ -75,6 +82,8 @@
     pub news: Sender<News<G>>,
     /// The way to the other dispatchers, where there is one.
     pub talk: Option<Talk<G::Mail>>,
+    /// What this dispatcher is to the others, where it is to know them.
+    pub members: Option<Members<G::Mail>>,
 }
 
 impl<G: Ground> Shared<G> {
--- a/crates/drive/src/talk.rs
+++ b/crates/drive/src/talk.rs
@@ -1,13 +1,12 @@
 //! Carries what dispatchers tell each other, where the configuration gives addresses for it.
 use crate::ground::{Ground, Mail};
-use crate::shared::{News, Shared};
 use futures_lite::future::yield_now;
-use rosewall::types::Share;
+use rosewall::types::{Nanos, Share};
+use rosewall_node::counters::Counters;
 use rosewall_node::pace::Pace;
 use rosewall_wire::talk::{LENGTH, datagram, read};
 use std::cell::RefCell;
 use std::net::SocketAddr;
-use std::rc::Rc;
 
 /// Datagrams a second, each way: ten times what the busiest of a hundred dispatchers sent in simulated days. What is
 /// beyond it is dropped and counted.
@@ -24,34 +23,33 @@
     pub fn new(mail: M, me: u16, peers: Vec<SocketAddr>) -> Self {
         Talk { mail, me, peers, out: RefCell::new(Pace::new(A_SECOND)) }
     }
-}
 
-/// To one peer. What cannot be sent is lost, as any datagram may be.
-pub fn tell<G: Ground>(shared: &Shared<G>, to: u16, share: &Share) {
-    let counters = &shared.counters;
-    let Some(talk) = &shared.talk else { return counters.told_lost.add() };
-    let Some(peer) = talk.peers.get(usize::from(to)) else { return counters.told_lost.add() };
-    let allowed = talk.out.borrow_mut().allows(shared.ground.now());
-    if allowed && talk.mail.send(&datagram(talk.me, share), *peer).is_ok() {
-        counters.told.add();
-    } else {
-        counters.told_lost.add();
+    /// To one peer. What cannot be sent is lost, as any datagram may be.
+    pub fn tell(&self, now: Nanos, counters: &Counters, to: u16, share: &Share) {
+        let Some(peer) = self.peers.get(usize::from(to)) else { return counters.told_lost.add() };
+        let allowed = self.out.borrow_mut().allows(now);
+        if allowed && self.mail.send(&datagram(self.me, share), *peer).is_ok() {
+            counters.told.add();
+        } else {
+            counters.told_lost.add();
+        }
     }
-}
 
-pub async fn hear<G: Ground>(shared: Rc<Shared<G>>) {
-    let (mut pace, mut bytes) = (Pace::new(A_SECOND), [0; LENGTH + 1]);
-    while let Some(talk) = &shared.talk {
-        let heard = talk.mail.receive(&mut bytes).await;
-        let line = heard.ok().filter(|_| pace.allows(shared.ground.now()));
-        match line.and_then(|(length, sender)| read(&bytes[..length], sender, &talk.peers).ok()) {
-            Some((from, share)) => {
-                shared.counters.heard.add();
-                shared.tell(News::Shared { from, share });
+    /// Hears for ever; each line goes to `heard` with its teller.
+    pub async fn hear<G: Ground>(&self, ground: &G, counters: &Counters, heard: impl Fn(u16, Share)) {
+        let (mut pace, mut bytes) = (Pace::new(A_SECOND), [0; LENGTH + 1]);
+        loop {
+            let came = self.mail.receive(&mut bytes).await;
+            let line = came.ok().filter(|_| pace.allows(ground.now()));
+            match line.and_then(|(length, sender)| read(&bytes[..length], sender, &self.peers).ok()) {
+                Some((from, share)) => {
+                    counters.heard.add();
+                    heard(from, share);
+                }
+                None => counters.heard_dropped.add(),
             }
-            None => shared.counters.heard_dropped.add(),
+            // Guards against a flood of them that leaves no one else a turn.
+            yield_now().await;
         }
-        // Guards against a flood of them that leaves no one else a turn.
-        yield_now().await;
     }
 }
--- a/crates/node/src/counters.rs
+++ b/crates/node/src/counters.rs
@@ -41,6 +41,7 @@
     ended_broken ended_moot settled_late
     connects connects_failed pool_stale pool_broke pool_evicted no_descriptor probes
     told told_lost heard heard_dropped
+    members_sent members_heard members_lost rights_wanted rights_got
     lists lists_failed lists_malformed hosts_clashing broken_promises
 }
 
--- a/crates/node/src/given.rs
+++ b/crates/node/src/given.rs
@@ -2,6 +2,8 @@
 use rosewall::pick;
 use rosewall::policy::Dispatcher;
 use rosewall::types::Nanos;
+use rosewall_cluster::error::ClusterError;
+use rosewall_cluster::file::Joining;
 use rosewall_settings::{Map, ours};
 use rosewall_wire::client::Names;
 use serde::Deserialize;
@@ -17,6 +19,8 @@
     #[serde(default)]
     known: Value,
     talk: Option<Talk>,
+    /// The path of the file on the other dispatchers, where this one is to know them.
+    cluster: Option<String>,
     settings: Value,
 }
 
@@ -44,6 +48,9 @@
     /// The list of workers as last known, in discovery's form.
     pub known: Vec<u8>,
     pub talk: Option<Talk>,
+    pub cluster: Option<String>,
+    /// What stands in that file, once it was read.
+    pub joining: Option<Joining>,
     pub map: Map,
 }
 
@@ -56,7 +63,10 @@
     let mut pairs = Vec::new();
     flatten("", &file.settings, &mut pairs);
     let mut map = ours(pairs.iter().map(|(path, value)| (path.as_str(), value.as_str())));
-    if file.talk.is_none() && map.get("share.allowed").is_some_and(|allowed| allowed != "false") {
+    if file.talk.is_none()
+        && file.cluster.is_none()
+        && map.get("share.allowed").is_some_and(|allowed| allowed != "false")
+    {
         // Guards against decisions that tell what nothing here could carry.
         log::warn!(
             "no talk between dispatchers: the settings allow it, but the file gives no addresses for it"
@@ -64,7 +74,20 @@
         map.insert("share.allowed".into(), "false".into());
     }
     let (listen, discovery, known) = (file.listen, file.discovery, file.known.to_string().into_bytes());
-    Ok(Given { listen, discovery, seed, memory_mb, sockets, known, talk: file.talk, map })
+    let (talk, cluster, joining) = (file.talk, file.cluster, None);
+    Ok(Given { listen, discovery, seed, memory_mb, sockets, known, talk, cluster, joining, map })
+}
+
+impl Given {
+    /// Takes in how it joins the others: with keepers there are rights to cold workers.
+    pub fn join(&mut self, joining: Joining) -> Result<(), ClusterError> {
+        if self.talk.is_some() {
+            return Err(ClusterError::TalkAndCluster);
+        }
+        self.map.insert("rights".into(), (!joining.keepers.is_empty()).to_string());
+        self.joining = Some(joining);
+        Ok(())
+    }
 }
 
 /// Whether the dispatcher can start with this; an error names what is wrong and its value.
--- a/crates/node/src/hub.rs
+++ b/crates/node/src/hub.rs
@@ -49,6 +49,14 @@
         from: u16,
         share: Share,
     },
+    /// Its place among those that run, if that is known.
+    View(Option<(u16, u16)>),
+    /// A right to send work to a cold worker has come.
+    Right {
+        worker: WorkerId,
+        work: Nanos,
+        until: Nanos,
+    },
     List(Listing),
     ListFailed,
     /// The program ends: all is to be answered by this moment.
@@ -107,6 +115,17 @@
         to: u16,
         share: Share,
     },
+    /// A right to send so much work to a cold worker is wanted.
+    Want {
+        worker: WorkerId,
+        work: Nanos,
+    },
+    /// What all together may be given for a cold worker in a window.
+    Joint {
+        worker: WorkerId,
+        work: Nanos,
+        window: Nanos,
+    },
     /// Leave is given to follow the list.
     Follow,
 }
@@ -149,13 +168,18 @@
 }
 
 impl Hub {
-    pub fn new(dispatcher: Dispatcher, counters: Rc<Counters>, connect_within: Nanos) -> Self {
+    pub fn new(
+        dispatcher: Dispatcher,
+        counters: Rc<Counters>,
+        connect_within: Nanos,
+        workers: Workers,
+    ) -> Self {
         Hub {
             dispatcher,
             counters,
             connect_within,
             ready: false,
-            workers: Workers::default(),
+            workers,
             txns: Slab::new(),
             places: FxHashMap::default(),
             ids: FxHashSet::default(),
@@ -215,6 +239,10 @@
             Input::Told { txn, leg, told } => self.told(now, txn, leg, told, out),
             Input::Probed(probed) => self.decide(now, Event::Probed(probed), out),
             Input::Shared { from, share } => self.decide(now, Event::Shared { from, share }, out),
+            Input::View(place) => self.decide(now, Event::View(place), out),
+            Input::Right { worker, work, until } => {
+                self.decide(now, Event::Right { worker, work, until }, out);
+            }
             Input::List(listing) => {
                 let scope = if listing.whole { Scope::Whole } else { Scope::Changes };
                 self.list(now, scope, listing, out);
@@ -431,6 +459,8 @@
             Action::Reverse { txn } => self.refuse(now, txn, Answer::Reversed, out),
             Action::Follow => out.push(Effect::Follow),
             Action::Tell { to, share } => out.push(Effect::Tell { to, share }),
+            Action::Want { worker, work } => out.push(Effect::Want { worker, work }),
+            Action::Joint { worker, work, window } => out.push(Effect::Joint { worker, work, window }),
             Action::Timer { at, token } => self.arm(at, Due::Decisions(token)),
             Action::Say(text) => log::info!("{text}"),
         }
--- a/crates/node/src/hub_tests.rs
+++ b/crates/node/src/hub_tests.rs
@@ -1,6 +1,7 @@
 //! The hub, told things at given moments; what it says is to be done.
 use super::counters::Counters;
 use super::hub::{Effect, Hub, Input};
+use super::workers::Workers;
 use rosewall::Map;
 use rosewall::policy::Dispatcher;
 use rosewall::types::{Nanos, Outcome, Standing};
@@ -37,7 +38,7 @@
     ];
     let map: Map = settings.iter().map(|(name, value)| (name.to_string(), value.to_string())).collect();
     let dispatcher = Dispatcher::start(0, 1, &map).unwrap();
-    let mut hub = Hub::new(dispatcher, Rc::new(Counters::default()), 250 * MS);
+    let mut hub = Hub::new(dispatcher, Rc::new(Counters::default()), 250 * MS, Workers::default());
     let entry = |standing| Host {
         host: "a".into(),
         dial: Some(([127, 0, 0, 1], 9).into()),
@@ -70,9 +71,7 @@
         Effect::CallOff { txn, leg } => format!("off {txn} {leg}"),
         Effect::Cut { txn, leg } => format!("cut {txn} {leg}"),
         Effect::Done { txn, leg } => format!("done {txn} {leg}"),
-        Effect::Probe { .. } | Effect::Void { .. } | Effect::Tell { .. } | Effect::Follow => {
-            "other".to_string()
-        }
+        _ => "other".to_string(),
     };
     effects.drain(..).map(word).collect()
 }
--- a/crates/node/src/workers.rs
+++ b/crates/node/src/workers.rs
@@ -9,6 +9,8 @@
     host: String,
     dial: Option<SocketAddr>,
     born: Nanos,
+    /// When it started, by this process's clock.
+    started: Nanos,
     standing: Standing,
 }
 
@@ -22,6 +24,8 @@
     /// The highest number of a list, and since when only lower ones have come.
     seq: u64,
     back_since: Option<Nanos>,
+    /// Where clocks are not taken for one: a worker born longer ago than this is warm, however far they lie apart.
+    own_clock: Option<Nanos>,
 }
 
 /// The stricter of two: gone before draining before ready.
@@ -45,6 +49,21 @@
 }
 
 impl Workers {
+    /// For a fleet whose clocks lie up to `apart` from one another, where a worker is warm `cold` after its birth.
+    pub fn by_own_clock(apart: Nanos, cold: Nanos) -> Self {
+        Workers { own_clock: Some(apart + cold), ..Workers::default() }
+    }
+
+    /// When a process started that is heard of now. By its own clock a dispatcher can only know that it was before it was
+    /// told: a younger one is taken to have started just then. Guards against a clock that is ahead, by which a cold
+    /// worker would look warm.
+    fn started(&self, now: Nanos, born: Nanos) -> Nanos {
+        match self.own_clock {
+            Some(warm) if born > 0 && born + warm > now => now,
+            _ => born,
+        }
+    }
+
     /// Its host, and where to dial it.
     pub fn reach(&self, id: WorkerId) -> Option<(&str, SocketAddr)> {
         self.by_id.get(&id).and_then(|site| Some((site.host.as_str(), site.dial?)))
@@ -75,8 +94,9 @@
         };
         for Host { host, dial, standing, zone, kind, group, size, born } in listing.hosts {
             let worker = id(&host);
-            let site =
-                self.by_id.entry(worker).or_insert_with(|| Site { host: host.clone(), dial, born, standing });
+            let started = self.started(now, born);
+            let new = || Site { host: host.clone(), dial, born, started, standing };
+            let site = self.by_id.entry(worker).or_insert_with(new);
             if site.host != host {
                 clashing += 1;
                 continue;
@@ -90,9 +110,13 @@
             if site.born != born || site.dial != dial || standing == Standing::Gone {
                 void.push(worker);
             }
+            if site.born != born {
+                site.started = started;
+            }
             (site.dial, site.born, site.standing) = (dial, born, standing);
+            let started = site.started;
             log::debug!("at={now} host={host} listed {standing:?} born={born}");
-            entries.push(Listed { worker, standing, zone, kind, size, started: born, group });
+            entries.push(Listed { worker, standing, zone, kind, size, started, group });
         }
         // Whoever a whole list leaves out is gone.
         for worker in &left {
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -24,6 +24,9 @@
     /// Print JSON, a line for each play
     #[arg(long, global = true)]
     json: bool,
+    /// Write the logs of all processes, with their counters, into this folder (`run` and `replay`)
+    #[arg(long, global = true, value_name = "FOLDER")]
+    logs: Option<PathBuf>,
 }
 
 #[derive(Subcommand)]
@@ -75,7 +78,7 @@
 
 fn run(cli: &Cli) -> Result<bool, RigError> {
     let one = |scenario: Scenario| {
-        let report = play(&scenario)?;
+        let report = play(&scenario, cli.logs.as_deref())?;
         show(&report, cli.json);
         Ok(report.violations.is_empty())
     };
@@ -102,7 +105,7 @@
                             if seed >= first + seeds {
                                 return;
                             }
-                            let played = play(&Scenario::drawn(seed));
+                            let played = play(&Scenario::drawn(seed), None);
                             let done = ended.fetch_add(1, Ordering::SeqCst) + 1;
                             let Ok(mut state) = state.lock() else { return };
                             match played {
--- a/crates/rig/src/play.rs
+++ b/crates/rig/src/play.rs
@@ -11,7 +11,7 @@
 use serde_json::{Value, json};
 use std::io::{BufReader, Write};
 use std::net::TcpStream;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -153,12 +153,12 @@
     }
 
     /// The file of the members' part, as an operator would write it.
-    fn members(&self, at: usize) -> String {
+    fn members(&self, at: usize, name: &str) -> String {
         let fleet = &self.scenario.fleet;
         let seeds: Vec<String> = (0..fleet.dispatchers.min(3)).map(|at| self.mail(at)).collect();
         let keepers: Vec<String> = (0..fleet.keepers).map(|at| format!("n{at}")).collect();
         format!(
-            "version = 1\ncluster = \"rig\"\nname = \"n{at}\"\nlisten = {:?}\nseeds = {seeds:?}\nkeepers = {keepers:?}\n\
+            "version = 1\ncluster = \"rig\"\nname = {name:?}\nlisten = {:?}\nseeds = {seeds:?}\nkeepers = {keepers:?}\n\
              through = {:?}\n",
             self.mail(at),
             self.relay.0.address.to_string()
@@ -167,6 +167,10 @@
 
     /// Starts a process under its name and addresses; it is not waited for.
     pub fn start(&mut self, at: usize) -> Result<(), RigError> {
+        self.start_as(at, &format!("n{at}"))
+    }
+
+    pub fn start_as(&mut self, at: usize, name: &str) -> Result<(), RigError> {
         let Scenario { fleet, cold, load, .. } = &self.scenario;
         let mut given = configuration(&self.list.address, 1024);
         let expiry = load.expiry_ms * 1_000_000;
@@ -182,7 +186,7 @@
         if fleet.members {
             settings["Bounds"]["Peers"] = fleet.peers.into();
             given["cluster"] =
-                self.write(&format!("n{at}.toml"), &self.members(at))?.to_string_lossy().into();
+                self.write(&format!("n{at}.toml"), &self.members(at, name))?.to_string_lossy().into();
         }
         let file = self.write(&format!("n{at}.json"), &given.to_string())?;
         let level = std::env::var("ROSEWALL_LOG").unwrap_or_else(|_| "info".to_string());
@@ -316,6 +320,37 @@
         self.places[at].process.as_ref().map(Process::lines).unwrap_or_default()
     }
 
+    /// Rank and number of members, as one process says itself.
+    pub fn view(&self, at: usize) -> Option<(usize, usize)> {
+        let lines = self.lines(at);
+        let line = lines.iter().rfind(|line| line.contains("cluster view "))?;
+        let word = |name: &str| {
+            let mut words = line.split(' ').filter_map(|word| word.split_once('='));
+            words.find(|(key, _)| *key == name)?.1.parse().ok()
+        };
+        Some((word("rank")?, word("members")?))
+    }
+
+    /// Whether these know just each other, each with a rank of its own.
+    pub fn agree(&self, who: &[usize]) -> bool {
+        let mut ranks: Vec<usize> = Vec::new();
+        for at in who {
+            match self.view(*at) {
+                Some((rank, members)) if members == who.len() => ranks.push(rank),
+                _ => return false,
+            }
+        }
+        ranks.sort_unstable();
+        ranks.into_iter().eq(0..who.len())
+    }
+
+    /// The most work a seat that any worker was sent in a span, over their mean.
+    pub fn uneven(&self, from: Instant, to: Instant) -> f64 {
+        let (downs, drains, asked) = (&self.downs, &self.drains, &[]);
+        let (begin, workers, expiry) = (self.begin, &self.workers, Duration::ZERO);
+        Evidence { begin, end: to, expiry, workers, asked, downs, drains }.uneven(from, to, |_| true)
+    }
+
     pub fn process(&self, at: usize) -> Option<&Process> {
         self.places[at].process.as_ref()
     }
@@ -412,6 +447,22 @@
         Ok(())
     }
 
+    /// Writes the log of each process that runs, with its counters, into a folder.
+    pub fn logs(&self, folder: &Path) -> Result<(), RigError> {
+        std::fs::create_dir_all(folder)
+            .map_err(|source| RigError::Folder { path: folder.to_path_buf(), source })?;
+        let running =
+            || self.places.iter().enumerate().filter_map(|(at, place)| Some((at, place.process.as_ref()?)));
+        running().for_each(|(_, process)| process.signal("USR1"));
+        thread::sleep(Duration::from_millis(100));
+        for (at, process) in running() {
+            let path = folder.join(format!("n{at}.log"));
+            std::fs::write(&path, process.lines().join("\n"))
+                .map_err(|source| RigError::Folder { path: path.clone(), source })?;
+        }
+        Ok(())
+    }
+
     /// Ends the clients and judges.
     pub fn judge(mut self) -> Report {
         let end = Instant::now();
@@ -523,10 +574,11 @@
     }
 }
 
-/// The whole of it.
-pub fn play(scenario: &Scenario) -> Result<Report, RigError> {
+/// The whole of it; with a folder, the processes' logs go there.
+pub fn play(scenario: &Scenario, logs: Option<&Path>) -> Result<Report, RigError> {
     let mut stage = Stage::set(scenario)?;
     stage.ask();
     stage.run(|_, _| {})?;
+    logs.map_or(Ok(()), |folder| stage.logs(folder))?;
     Ok(stage.judge())
 }
--- a/crates/rosewalld/src/ground.rs
+++ b/crates/rosewalld/src/ground.rs
@@ -6,7 +6,7 @@
 use rosewall::types::Nanos;
 use rosewall_drive::ground::{Door, Ground, Look, Mail, Stream};
 use std::io::{self, ErrorKind};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::net::{IpAddr, Shutdown, SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
@@ -47,8 +47,8 @@
         self.ex.spawn(work)
     }
 
-    fn mail(&self, at: SocketAddr) -> io::Result<Datagrams> {
-        Ok(Datagrams(Async::<UdpSocket>::bind(at)?))
+    fn mail(&self, at: SocketAddr, through: Option<SocketAddr>) -> io::Result<Datagrams> {
+        Ok(Datagrams { socket: Async::<UdpSocket>::bind(at)?, through })
     }
 
     async fn connect(&self, to: SocketAddr) -> io::Result<Socket> {
@@ -56,15 +56,38 @@
     }
 }
 
-pub struct Datagrams(Async<UdpSocket>);
+pub struct Datagrams {
+    socket: Async<UdpSocket>,
+    /// A relay, to which the other side's address goes before each datagram, and from which it comes so.
+    through: Option<SocketAddr>,
+}
+
+/// An IPv4 address and a port, as they stand before a datagram.
+const PREFIX: usize = 6;
 
 impl Mail for Datagrams {
     fn send(&self, bytes: &[u8], to: SocketAddr) -> io::Result<()> {
-        self.0.get_ref().send_to(bytes, to).map(drop)
+        let socket = self.socket.get_ref();
+        let Some(relay) = self.through else { return socket.send_to(bytes, to).map(drop) };
+        let IpAddr::V4(ip) = to.ip() else { return Err(ErrorKind::Unsupported.into()) };
+        let mut whole = Vec::with_capacity(PREFIX + bytes.len());
+        whole.extend(ip.octets());
+        whole.extend(to.port().to_be_bytes());
+        whole.extend(bytes);
+        socket.send_to(&whole, relay).map(drop)
     }
 
     async fn receive(&self, bytes: &mut [u8]) -> io::Result<(usize, SocketAddr)> {
-        self.0.recv_from(bytes).await
+        if self.through.is_none() {
+            return self.socket.recv_from(bytes).await;
+        }
+        let mut whole = vec![0; PREFIX + bytes.len()];
+        let (length, _) = self.socket.recv_from(&mut whole).await?;
+        let Some((&[a, b, c, d, x, y], rest)) = whole[..length].split_first_chunk::<PREFIX>() else {
+            return Err(ErrorKind::InvalidData.into());
+        };
+        bytes[..rest.len()].copy_from_slice(rest);
+        Ok((rest.len(), ([a, b, c, d], u16::from_be_bytes([x, y])).into()))
     }
 }
 
--- a/crates/rosewalld/src/life/start.rs
+++ b/crates/rosewalld/src/life/start.rs
@@ -4,10 +4,13 @@
 use async_io::Async;
 use async_signal::{Signal, Signals};
 use futures_lite::{FutureExt, StreamExt};
+use rosewall_cluster::error::ClusterError;
+use rosewall_cluster::file;
 use rosewall_drive::node::Node;
 use rosewall_drive::shared::Shared;
 use rosewall_node::given::{self, Given};
 use std::net::TcpListener;
+use std::path::Path;
 use std::rc::Rc;
 
 pub fn run() -> Result<(), String> {
@@ -24,6 +27,13 @@
         std::fs::read(path).map_err(|error| format!("cannot read the configuration {path}: {error}"))?;
     let mut given =
         given::read(&text).map_err(|fault| format!("cannot use the configuration {path}: {fault}"))?;
+    if let Some(path) = given.cluster.take() {
+        let joining = std::fs::read_to_string(&path)
+            .map_err(|source| ClusterError::Unread { path: path.clone().into(), source })
+            .and_then(|text| file::read(Path::new(&path), &text))
+            .and_then(|joining| given.join(joining));
+        joining.map_err(|fault| fault.line())?;
+    }
     given::check(&given).map_err(|fault| format!("cannot use the configuration {path}: {fault}"))?;
     // Guards against a system that allows fewer descriptors than are told.
     let system = rustix::process::getrlimit(rustix::process::Resource::Nofile).current;
@@ -49,7 +59,12 @@
             None
         };
         match signal.or(fault).await {
-            Some(Signal::Usr1) => log::info!("{}", shared.counters),
+            Some(Signal::Usr1) => {
+                log::info!("{}", shared.counters);
+                if let Some(members) = &shared.members {
+                    log::info!("{members}");
+                }
+            }
             Some(Signal::Hup) => match load(path) {
                 Ok(given) => node.reload(&given),
                 // One that cannot be read changes nothing.
--- /dev/null
+++ b/crates/rosewalld/tests/cluster.rs
@@ -0,0 +1,179 @@
+//! Several processes of the program, with faults between them. Rules are judged by the workers' and clients' own record;
+//! only who knows whom is read from the logs.
+use rosewall_rig::play::{Report, Stage, play};
+use rosewall_rig::relay::Way;
+use rosewall_rig::scenario::{ColdStart, Fault, Fleet, Load, Scenario, What};
+use std::sync::{Condvar, Mutex};
+use std::time::{Duration, Instant};
+
+/// So many processes at once run well on few cores; larger plays wait for smaller ones.
+const AT_ONCE: usize = 26;
+static RUNNING: (Mutex<usize>, Condvar) = (Mutex::new(0), Condvar::new());
+
+struct Place(usize);
+
+fn place(processes: usize) -> Place {
+    let (lock, ended) = &RUNNING;
+    let running = lock.lock().unwrap_or_else(|held| held.into_inner());
+    let wait = |running: &mut usize| *running > 0 && *running + processes > AT_ONCE;
+    let mut running = ended.wait_while(running, wait).unwrap_or_else(|held| held.into_inner());
+    *running += processes;
+    Place(processes)
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        *RUNNING.0.lock().unwrap_or_else(|held| held.into_inner()) -= self.0;
+        RUNNING.1.notify_all();
+    }
+}
+
+/// Workers of two seats; a cold one takes 1.5 times what it can do.
+fn scenario(dispatchers: usize, seconds: f64, fault: Vec<Fault>) -> Scenario {
+    let fleet = Fleet { dispatchers, workers: 8, ..Fleet::default() };
+    let load = Load { clients: 4, pause_ms: 60.0, ..Load::default() };
+    let cold = ColdStart { multiple: 1.5, ..ColdStart::default() };
+    Scenario { seed: 7, seconds, fleet, load, cold, fault, ..Scenario::default() }
+}
+
+fn played(scenario: &Scenario) -> Report {
+    let _place = place(scenario.fleet.dispatchers);
+    let report = play(scenario, None).expect("the rig could not play");
+    println!("{report:#?}");
+    report
+}
+
+/// No rule broken, and service went on.
+fn kept(scenario: &Scenario) -> Report {
+    let report = played(scenario);
+    assert!(report.violations.is_empty(), "{:#?}", report.violations);
+    assert!(
+        report.asked > 300 && report.missed < 0.05,
+        "{} asked, {:.3} missed",
+        report.asked,
+        report.missed
+    );
+    report
+}
+
+#[test]
+fn half_are_killed_during_a_release_of_workers() {
+    let faults = vec![Fault::join(1_500, 3), Fault::new(2_500, What::Kill, 4..8)];
+    let report = kept(&Scenario {
+        load: Load { clients: 6, pause_ms: 40.0, ..Load::default() },
+        ..scenario(8, 10.0, faults)
+    });
+    let least = report.cold.iter().map(|used| used.of_half).fold(f64::INFINITY, f64::min);
+    assert!(least > 0.25, "a cold worker got {least:.2} of what today's rule allows it");
+}
+
+/// The keepers' side gives rights, the other has its own parts only; both send to the same cold workers.
+#[test]
+fn a_split_with_a_cold_worker_on_both_sides() {
+    let faults = vec![Fault::new(1_000, What::Split, 0..4).lasting(6_000), Fault::join(2_000, 2)];
+    let report = kept(&scenario(8, 10.0, faults));
+    assert!(report.lost > 100, "nothing was cut");
+}
+
+#[test]
+fn one_hears_no_one_and_another_is_heard_by_no_one() {
+    let faults = vec![
+        Fault::new(1_000, What::Deaf, [4]).lasting(6_000),
+        Fault::new(1_000, What::Mute, [1]).lasting(6_000),
+        Fault::join(2_500, 2),
+    ];
+    kept(&scenario(6, 9.0, faults));
+}
+
+/// As it sleeps it holds the lease on rights (the first keeper), and txns that were to go to cold workers.
+#[test]
+fn a_member_that_was_paused_for_ten_seconds_wakes_with_nothing() {
+    let faults = vec![
+        Fault::join(2_500, 2),
+        Fault::new(3_500, What::Pause, [0]).lasting(10_000),
+        Fault::join(12_000, 2),
+    ];
+    kept(&scenario(6, 16.0, faults));
+}
+
+#[test]
+fn dispatchers_roll_one_after_the_other_while_workers_join() {
+    let rolls = (0..5).map(|at| Fault::new(1_000 + 1_600 * at as u64, What::Roll, [at]));
+    kept(&scenario(5, 10.0, rolls.chain([Fault::join(2_000, 1), Fault::join(5_000, 1)]).collect()));
+}
+
+#[test]
+fn a_fifth_of_datagrams_is_lost_and_clocks_lie_five_seconds_apart() {
+    let mut scenario = scenario(6, 9.0, vec![Fault::join(2_000, 3), Fault::new(4_000, What::Drain, [2])]);
+    scenario.datagrams = Way { loss: 0.2, twice: 0.1, delay_ms: 1, jitter_ms: 30, cut: false };
+    (scenario.fleet.skew_ms, scenario.fleet.peers) = (5_000, true);
+    kept(&scenario);
+}
+
+/// Guards against a judge that sees nothing: told another multiple, they push a cold worker over.
+#[test]
+fn a_budget_that_is_not_kept_shows() {
+    let mut scenario = scenario(5, 6.0, vec![Fault::join(1_000, 3)]);
+    (scenario.cold.told_multiple, scenario.load.pause_ms, scenario.load.clients) = (Some(400.0), 5.0, 10);
+    scenario.fleet.workers = 3;
+    let report = played(&scenario);
+    assert!(report.violations.iter().any(|broken| broken.rule == 4), "not found: {:?}", report.cold);
+}
+
+/// How long until these know just each other.
+fn agreed(stage: &Stage, who: &[usize], within: Duration) -> Duration {
+    let from = Instant::now();
+    while !stage.agree(who) {
+        let views: Vec<_> = who.iter().map(|at| stage.view(*at)).collect();
+        assert!(from.elapsed() < within, "not agreed after {within:?}: {views:?}");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    from.elapsed()
+}
+
+/// From 8 to 24 and back to 6 under load, one of 24 killed in between. After each change work is even over the workers.
+#[test]
+fn the_fleet_grows_to_twenty_four_and_shrinks_to_six() {
+    let _place = place(24);
+    let mut scenario = scenario(8, 60.0, vec![Fault::new(55_000, What::Start, 8..24)]);
+    (scenario.fleet.says, scenario.fleet.workers) = (24, 12);
+    scenario.load = Load { clients: 6, pause_ms: 50.0, work_ms: 8.0, ..Load::default() };
+    let mut stage = Stage::set(&scenario).expect("the rig could not start");
+    stage.ask();
+    let all: Vec<usize> = (0..24).collect();
+    let limit = Duration::from_secs(3);
+    let even = |stage: &Stage, what: &str| {
+        std::thread::sleep(Duration::from_millis(500));
+        let from = Instant::now();
+        std::thread::sleep(Duration::from_millis(4_500));
+        let uneven = stage.uneven(from, Instant::now());
+        println!("{what}: {uneven:.2}");
+        assert!(uneven <= 1.25, "{what}: {uneven:.2} of the mean");
+    };
+    println!("eight: {:?}", agreed(&stage, &all[..8], limit));
+    even(&stage, "eight");
+    (8..24).for_each(|at| stage.start(at).expect("no start"));
+    (8..24).for_each(|at| stage.until_ready(at).expect("not ready"));
+    println!("twenty-four: {:?}", agreed(&stage, &all, limit));
+    even(&stage, "twenty-four");
+    stage.kill(23);
+    println!("one killed: {:?}", agreed(&stage, &all[..23], limit));
+    (6..23).for_each(|at| stage.leave(at));
+    println!("six: {:?}", agreed(&stage, &all[..6], limit));
+    even(&stage, "six");
+    let report = stage.judge();
+    assert!(report.violations.is_empty() && report.missed < 0.05, "{report:#?}");
+}
+
+#[test]
+fn two_processes_of_one_name_are_told_apart() {
+    let _place = place(5);
+    let mut stage = Stage::set(&scenario(5, 8.0, Vec::new())).expect("the rig could not start");
+    agreed(&stage, &[0, 1, 2, 3, 4], Duration::from_secs(3));
+    stage.start_as(4, "n3").expect("no start");
+    stage.until_ready(4).expect("not ready");
+    let process = stage.process(3).expect("it runs");
+    let line = process.line("RW-CLUSTER-TWICE", Duration::from_secs(5)).expect("the older one was not told");
+    assert!(line.contains("n3") && line.contains("give one of the two another name"), "{line}");
+    assert!(stage.judge().violations.is_empty());
+}
--- a/crates/wirehost/src/translate.rs
+++ b/crates/wirehost/src/translate.rs
@@ -175,6 +175,8 @@
             let port = worker.port.to_le_bytes();
             reply.record(71, &[&to, &length, &worker.addr, &port, &[*halves], &work.to_le_bytes(), &[*sign]]);
         }
+        // The simulator's dispatchers are no members of anything: nothing is asked for or given.
+        Action::Want { .. } | Action::Joint { .. } => {}
         Action::Timer { at, token } => reply.record(74, &[&at.to_le_bytes(), &token.to_le_bytes()]),
         Action::Say(text) => {
             let bytes = &text.as_bytes()[..text.len().min(usize::from(u16::MAX))];
--- a/crates/world/src/world.rs
+++ b/crates/world/src/world.rs
@@ -66,7 +66,7 @@
     type Door = VDoor;
     type Mail = NoMail;
 
-    fn mail(&self, _: SocketAddr) -> io::Result<NoMail> {
+    fn mail(&self, _: SocketAddr, _: Option<SocketAddr>) -> io::Result<NoMail> {
         Err(io::ErrorKind::Unsupported.into())
     }
 
--- /dev/null
+++ b/src/joint.rs
@@ -0,0 +1,135 @@
+//! What the decisions make of being one of many that know each other: their place among those that run, and whole rights
+//! to send to cold workers. No right comes from counting who runs, nor from clocks being one. A worker's joint budget has
+//! two parts. One is given out by one dispatcher at a time, whoever asks (`rosewall-cluster`). The other is divided by the
+//! numbers of the settings, for good: it is what is left to those whom no message reaches.
+use crate::policy::{Dispatcher, token};
+use crate::state::Worker;
+use crate::types::{Action, Nanos, Standing, WorkerId};
+
+#[cfg(test)]
+mod tests;
+
+/// Of what a cold worker bears, in any window: what is given out, what those who have met others keep between them, and
+/// what those keep who never heard of any. Given and kept make 0.65, under the two thirds that those told of a start may
+/// send whoever else sends; given and the last 0.95: also where none of them has met another, it bears the sum.
+const GIVEN: f64 = 0.5;
+const KEPT: f64 = 0.15;
+const ALONE: f64 = 0.45;
+/// So many hold what is kept of one worker: a part of it must hold a job.
+const HOLDERS: f64 = 2.0;
+/// How long a txn waits for a right: ten times the way there and back inside a data centre.
+const ANSWER: Nanos = 5_000_000;
+
+impl Worker {
+    /// What its rights still allow.
+    pub(crate) fn granted(&self, now: Nanos) -> f64 {
+        self.rights.iter().filter(|(until, _)| now < *until).map(|(_, work)| work).sum()
+    }
+
+    /// Takes work out of the rights, those first that end first; what they do not cover is left.
+    pub(crate) fn spend(&mut self, now: Nanos, mut work: f64) -> f64 {
+        self.rights.retain(|(until, left)| now < *until && *left > 0.0);
+        for (_, left) in &mut self.rights {
+            let used = left.min(work);
+            (*left, work) = (*left - used, work - used);
+        }
+        work
+    }
+}
+
+impl Dispatcher {
+    /// Its place among those that run, in place of the settings'.
+    pub(crate) fn view(&mut self, now: Nanos, place: Option<(u16, u16)>) {
+        let said = (self.says("me") as u16, self.slots as u16);
+        let (me, all) = place.unwrap_or(said);
+        (self.me, self.dispatchers) = (usize::from(me), f64::from(all).max(1.0));
+        self.unseen = 1.0 - 1.0 / self.dispatchers;
+        self.met |= place.is_some();
+        self.keep_to(now);
+    }
+
+    /// For how many dispatchers workers are shared out: where they come and go the same for a whole octave, as a hand of
+    /// another size at each would move all lanes.
+    pub(crate) fn among(&self) -> f64 {
+        if self.met { self.dispatchers.log2().ceil().exp2() } else { self.dispatchers }
+    }
+
+    /// The workers that this one keeps to, where dispatchers come and go: dealt like cards, `m` to each in the order of
+    /// their places, round and round. So the keepers of two workers differ by one at most, whoever runs, and one's hand
+    /// follows from its own place alone. In place of one that takes no connection the next beyond its hand, if warm.
+    pub(crate) fn dealt(&self, now: Nanos, all: &[usize], m: usize) -> Vec<usize> {
+        let n = all.len();
+        let card = |step: usize| (self.me * m + step) % n;
+        let sound = |place: &usize| !self.workers[all[*place]].refuses(now);
+        let warm = |place: &usize| self.warmth(&self.workers[all[*place]], now) >= 1.0;
+        let mut others = (m..n).map(card).filter(|place| sound(place) && warm(place));
+        let hand =
+            (0..m).map(card).map(|place| if sound(&place) { place } else { others.next().unwrap_or(place) });
+        let mut hand: Vec<usize> = hand.collect();
+        hand.sort_unstable();
+        hand.into_iter().map(|place| all[place]).collect()
+    }
+
+    /// The other dispatchers to whom the worker at a place was dealt.
+    pub(crate) fn dealt_to(&self, place: usize, n: usize, m: usize) -> impl Iterator<Item = u16> {
+        let (me, all) = (self.me, self.dispatchers as usize);
+        (0..all).filter(move |to| *to != me && (place + n - to * m % n) % n < m).map(|to| to as u16)
+    }
+
+    pub(crate) fn right(&mut self, worker: WorkerId, work: Nanos, until: Nanos) {
+        if let Some(&at) = self.known.get(&worker) {
+            let rights = &mut self.workers[at].rights;
+            let place = rights.partition_point(|(end, _)| *end <= until);
+            rights.insert(place, (until, work as f64));
+        }
+    }
+
+    /// What a cold worker bears in any window that has begun by now: by what it could do at the window's start.
+    fn bears(&self, worker: &Worker, now: Nanos) -> f64 {
+        let window = self.says("fall.window").max(1.0);
+        let warmth = self.warmth(worker, now.saturating_sub(window as Nanos));
+        self.says("fall.multiple") * self.unit * worker.size * warmth * window
+    }
+
+    /// What this one may send a cold worker in any window without asking, and for how many it stands there: the two whose
+    /// numbers come first after the worker's own have it, as long as it is cold.
+    pub(crate) fn own_part(&self, worker: &Worker, now: Nanos) -> (f64, f64) {
+        let part = if self.met { KEPT } else { ALONE };
+        let holders = HOLDERS.min(self.slots);
+        let [a, b, c, d] = worker.id.addr.map(u64::from);
+        let of = a + b + c + d + u64::from(worker.id.port);
+        let (me, slots) = (self.says("me") as u64, self.slots as u64);
+        let mine = me < slots && (me + slots - of % slots) % slots < holders as u64;
+        // What a process before this one sent may still count.
+        let fresh = now < self.begun + self.says("fall.window") as Nanos;
+        (part * self.bears(worker, now) / holders, if mine && !fresh { self.slots / holders } else { 0.0 })
+    }
+
+    /// Whether a txn waits for a right to a cold worker that it would have gone to. Once, and not for long: where none
+    /// comes, as all are given or no one answers, it goes on as if there were none. Guards against rights that come when
+    /// their txn has gone elsewhere, which were half of all.
+    pub(crate) fn awaits_right(&mut self, now: Nanos, key: usize, acts: &mut Vec<Action>) -> bool {
+        let hand = &mut self.txns[key];
+        let Some(at) = self.lacking.filter(|_| self.rights && self.met && !hand.asked && hand.posted == 0)
+        else {
+            return false;
+        };
+        hand.asked = true;
+        acts.push(Action::Want { worker: self.workers[at].id, work: hand.work as Nanos });
+        acts.push(Action::Timer { at: now + ANSWER, token: token(hand.txn.id, 0) });
+        true
+    }
+
+    /// Says what all together may be given for each cold worker; 0 for one that has just become warm.
+    pub(crate) fn tell_joint(&self, now: Nanos, acts: &mut Vec<Action>) {
+        let window = self.says("fall.window") as Nanos;
+        for worker in self.workers.iter().filter(|_| self.rights) {
+            let cold = worker.standing == Standing::Ready && self.warmth(worker, now) < 1.0;
+            let lately = worker.started + self.says("cold.time") as Nanos + 5_000_000_000 > now;
+            if cold || (worker.started > 0 && lately) {
+                let work = if cold { GIVEN * self.bears(worker, now) } else { 0.0 };
+                acts.push(Action::Joint { worker: worker.id, work: work as Nanos, window });
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/joint/tests.rs
@@ -0,0 +1,199 @@
+use super::*;
+use crate::state::Map;
+use crate::types::{Event, Listed, Scope, Txn};
+use test_case::test_case;
+
+const MS: Nanos = 1_000_000;
+const SETTINGS: &str = "posting.most=3 come_back.allowed=true come_back.most=2e9 tells_start=true cold.from=0.2 \
+    cold.time=6e9 fall.multiple=1.5 fall.window=1e9 report.fields=none list.mode=pushed scheme.count=1 rights=true \
+    scheme.0.effect=repeatable scheme.0.group=all scheme.0.window=0 scheme.0.sla=3e8 scheme.0.value=1";
+
+fn worker(n: u8) -> WorkerId {
+    WorkerId { addr: [10, 0, 0, n], port: 9 }
+}
+
+/// One of so many by the settings, with so many workers, the last of which started just after.
+fn dispatcher(slots: u16, me: u16, workers: u8, cold: u8) -> Dispatcher {
+    let pair = |word: &str| word.split_once('=').map(|(name, value)| (name.to_string(), value.to_string()));
+    let mut map: Map = SETTINGS.split_whitespace().filter_map(pair).collect();
+    map.insert("dispatchers".into(), slots.to_string());
+    map.insert("me".into(), me.to_string());
+    let mut d = Dispatcher::start(0, 7, &map).unwrap();
+    let entry = |n: u8| {
+        let started = if n + cold >= workers { MS } else { 0 };
+        let standing = Standing::Ready;
+        Listed { worker: worker(n), standing, zone: 0, kind: 0, size: 1.0, started, group: 0 }
+    };
+    let entries = (0..workers).map(entry).collect();
+    d.handle(MS, Event::List { scope: Scope::Whole, entries }, &mut Vec::new());
+    d
+}
+
+fn seen(d: &mut Dispatcher, place: Option<(u16, u16)>) {
+    d.handle(2 * MS, Event::View(place), &mut Vec::new());
+}
+
+/// The workers that each of so many keeps to.
+fn hands(members: u16, workers: u8) -> Vec<Vec<usize>> {
+    let hand = |me: u16| {
+        let mut d = dispatcher(members, me, workers, 0);
+        seen(&mut d, Some((me, members)));
+        d.schemes[0].lanes.clone()
+    };
+    (0..members).map(hand).collect()
+}
+
+#[test_case(5, 12; "few dispatchers, more workers")]
+#[test_case(12, 12; "as many of each")]
+#[test_case(24, 9; "few workers")]
+#[test_case(50, 64; "fifty")]
+#[test_case(7, 3; "three workers")]
+fn keepers_of_two_workers_differ_by_one_at_most(members: u16, workers: u8) {
+    let mut count = vec![0; usize::from(workers)];
+    for hand in hands(members, workers) {
+        let mut apart = hand.clone();
+        apart.dedup();
+        assert_eq!(apart.len(), hand.len(), "a worker twice in one hand");
+        hand.iter().for_each(|at| count[*at] += 1);
+    }
+    let (least, most) = (count.iter().min().unwrap(), count.iter().max().unwrap());
+    assert!(most - least <= 1, "{count:?}");
+}
+
+/// Within an octave of members no one else's hand changes; the ranks see to it that one fills the gap.
+#[test]
+fn one_member_more_or_less_moves_no_other_hand() {
+    for (less, more) in [(9, 10), (10, 16), (17, 18)] {
+        assert_eq!(hands(less, 20)[..], hands(more, 20)[..usize::from(less)]);
+    }
+}
+
+#[test]
+fn who_is_told_of_a_worker_is_who_keeps_to_it() {
+    let hands = hands(13, 10);
+    let mut d = dispatcher(13, 4, 10, 0);
+    seen(&mut d, Some((4, 13)));
+    let m = hands[0].len();
+    for place in 0..10 {
+        let told: Vec<u16> = d.dealt_to(place, 10, m).collect();
+        let keep = (0..13_u16).filter(|to| *to != 4 && hands[usize::from(*to)].contains(&place));
+        assert_eq!(told, keep.collect::<Vec<_>>());
+    }
+}
+
+/// Whatever each believes of who runs, and whatever its clock says: all parts kept without asking, those of dispatchers
+/// beyond the settings' number too, and what is given come to less than the rule.
+#[test_case(&[true; 12], 0.65; "all know each other")]
+#[test_case(&[false; 12], 0.95; "none has met another")]
+#[test_case(&[true, false, true, false, true, false, true, false, true, false, true, false], 0.95; "every other")]
+fn parts_and_what_is_given_keep_the_rule(met: &[bool], most: f64) {
+    for at in 0..10 {
+        let (mut sum, now) = (0.0, 3_000 * MS);
+        for (me, met) in met.iter().enumerate() {
+            // Views differ, and more run than the settings know of.
+            for me in [me as u16, me as u16 + 12] {
+                let mut d = dispatcher(12, me, 10, 10);
+                if *met {
+                    seen(&mut d, Some((0, 1 + me)));
+                }
+                let worker = &d.workers[at];
+                let (part, mine) = d.own_part(worker, now);
+                sum += if mine > 0.0 { part } else { 0.0 } / d.bears(worker, now);
+            }
+        }
+        assert!(sum > 0.0 && sum + GIVEN <= most + 1e-9, "{sum}");
+    }
+}
+
+#[test]
+fn a_part_is_not_kept_in_the_first_window_of_a_process() {
+    let holds = |at: Nanos| {
+        (0..4).any(|me| dispatcher(4, me, 1, 1).own_part(&dispatcher(4, me, 1, 1).workers[0], at).1 > 0.0)
+    };
+    assert_eq!((holds(999 * MS), holds(1_000 * MS)), (false, true));
+}
+
+#[test]
+fn a_right_is_spent_once_and_ends() {
+    let mut d = dispatcher(12, 0, 2, 1);
+    for (work, until) in [(50, 200), (30, 100)] {
+        d.handle(
+            2 * MS,
+            Event::Right { worker: worker(1), work: work * MS, until: until * MS },
+            &mut Vec::new(),
+        );
+    }
+    let w = &mut d.workers[1];
+    let ms = |work: f64| (work / 1e6).round() as i64;
+    assert_eq!(ms(w.granted(50 * MS)), 80);
+    // That which ends first goes first; what is not covered is left.
+    assert_eq!((ms(w.spend(50 * MS, 40e6)), ms(w.granted(50 * MS)), ms(w.granted(150 * MS))), (0, 40, 40));
+    assert_eq!((ms(w.spend(50 * MS, 60e6)), ms(w.granted(50 * MS))), (20, 0));
+    d.handle(60 * MS, Event::Right { worker: worker(1), work: MS, until: 100 * MS }, &mut Vec::new());
+    assert_eq!(d.workers[1].granted(100 * MS), 0.0);
+}
+
+fn arrive(d: &mut Dispatcher, now: Nanos) -> Vec<Action> {
+    let txn = Txn {
+        id: 1,
+        scheme: 0,
+        party: 0,
+        hint: Some(60 * MS),
+        slots: 1.0,
+        memory: 0.0,
+        expiry: now + 900 * MS,
+    };
+    let mut acts = Vec::new();
+    d.handle(now, Event::Arrived(txn), &mut acts);
+    acts
+}
+
+/// It asks once and waits; with the right it goes there, without one it is declined or goes elsewhere, at once after.
+#[test_case(true => true; "the right comes")]
+#[test_case(false => false; "nothing comes")]
+fn a_txn_waits_once_for_a_right_to_a_cold_worker(comes: bool) -> bool {
+    let mut d = (0..4)
+        .map(|me| dispatcher(4, me, 1, 1))
+        .find(|d| d.own_part(&d.workers[0], 2_000 * MS).1 == 0.0)
+        .unwrap();
+    seen(&mut d, Some((1, 4)));
+    let now = 2_000 * MS;
+    let acts = arrive(&mut d, now);
+    let [Action::Want { worker: of, work }, Action::Timer { at, token }] = acts[..] else {
+        panic!("{acts:?}")
+    };
+    assert_eq!((of, work, at), (worker(0), 60 * MS, now + 5 * MS));
+    if comes {
+        d.handle(now + MS, Event::Right { worker: of, work, until: now + 90 * MS }, &mut Vec::new());
+    }
+    let mut acts = Vec::new();
+    d.handle(at, Event::Due { token }, &mut acts);
+    assert!(!acts.iter().any(|act| matches!(act, Action::Want { .. })), "asked twice: {acts:?}");
+    acts.iter().any(|act| matches!(act, Action::Post { .. }))
+}
+
+#[test]
+fn without_a_view_the_settings_count_again() {
+    let mut d = dispatcher(12, 5, 20, 0);
+    seen(&mut d, Some((0, 3)));
+    seen(&mut d, None);
+    assert_eq!((d.me, d.dispatchers), (5, 12.0));
+}
+
+#[test]
+fn what_may_be_given_follows_the_warmth_of_a_window_ago_and_ends() {
+    let d = dispatcher(12, 0, 2, 1);
+    let joint = |now: Nanos| {
+        let mut acts = Vec::new();
+        d.tell_joint(now, &mut acts);
+        acts.iter().find_map(|act| match act {
+            Action::Joint { worker: of, work, .. } if *of == worker(1) => Some(work / MS),
+            _ => None,
+        })
+    };
+    // Half of 1.5 times two seats for a second, of which a fifth at first.
+    assert_eq!(
+        (joint(500 * MS), joint(4_001 * MS), joint(6_500 * MS), joint(12_000 * MS)),
+        (Some(300), Some(900), Some(0), None)
+    );
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,4 +1,5 @@
 //! rosewall: decides which worker gets which txn. See `policy` for the decisions and how to call them.
+mod joint;
 pub mod pcg;
 pub mod policy;
 pub mod sabotage;
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -102,7 +102,7 @@
 
 impl Worker {
     /// Distrust halves in 5 s: several times the time between postings to one worker at low traffic.
-    const HALF: f64 = 5.0 * SECOND;
+    pub(crate) const HALF: f64 = 5.0 * SECOND;
     /// Distrust above the fleet's mean: when all look bad at once, no one is worse than another. Or what
     /// errors of the scheme left, for which starts do not make up; of any, for what cannot be posted again.
     /// Guards against a worker that starts all and fails most, or one scheme.
@@ -120,16 +120,6 @@
         }
     }
 
-    fn refuses(&self, now: Nanos) -> bool {
-        now < self.refused_till
-    }
-
-    fn heard(&mut self, now: Nanos, by: f64) {
-        (self.refusals, self.refused_till) = (0, 0);
-        self.trust.add(now, Worker::HALF, -by);
-        self.alive = now;
-    }
-
     /// How long a new job would wait for its start, by what this dispatcher knows.
     fn wait(&self, now: Nanos, need: f64, mean: f64, fleet: (f64, f64)) -> f64 {
         // Reports and start delays tell of others' work, which changes as fast as jobs end: about 1 s.
@@ -151,7 +141,7 @@
 const TELL_FROM: f64 = 0.3;
 const TELL_EVERY: Nanos = 4_000_000_000;
 
-fn token(txn: TxnId, leg: usize) -> u64 {
+pub(crate) fn token(txn: TxnId, leg: usize) -> u64 {
     u64::from(txn) | (leg as u64) << 32
 }
 
@@ -185,6 +175,8 @@
                     }
                 }
             }
+            Event::View(place) => self.view(now, place),
+            Event::Right { worker, work, until } => self.right(worker, work, until),
             // This dispatcher ends: all in hand is answered by then, as at its expiry.
             Event::Closing { by } => self.txns.iter_mut().for_each(|(_, hand)| {
                 (hand.txn.expiry, hand.due) = (hand.txn.expiry.min(by), hand.due.min(by));
@@ -199,6 +191,7 @@
         acts.push(Action::Timer { at: now + BEAT_EVERY, token: BEAT });
         self.gaps.iter_mut().for_each(|gaps| gaps.measure(now));
         self.survey(now);
+        self.tell_joint(now, acts);
         if self.workers.iter().any(|worker| worker.refusals > 0) {
             self.keep_to(now);
         }
@@ -244,10 +237,13 @@
         let known = if jobs > 0.0 { Share::sign_of(pace) } else { Share::UNKNOWN };
         let sign = if silent { Share::SILENT } else { known };
         let share = Share { worker: id, halves: (2.0 * out).ceil() as u8, work: (ahead / 16e6) as u16, sign };
-        let (me, all) = (self.says("me") as usize, self.dispatchers as usize);
+        let (me, all) = (self.me, self.dispatchers as usize);
         let place = |s: &Scheme| Some((s.all.iter().position(|worker| *worker == at)?, s.all.len()));
         let Some((place, n)) = self.schemes.iter().find_map(place) else { return };
         let m = self.stretches(n);
+        if self.met {
+            return acts.extend(self.dealt_to(place, n, m).map(|to| Action::Tell { to, share }));
+        }
         let lane = (0..m).rfind(|lane| lane * n / m <= place).unwrap_or(0);
         // By the turns of `keep_to` one of each `len` dispatchers in a row.
         let (from, len) = (lane * n / m, (lane + 1) * n / m - lane * n / m);
@@ -273,7 +269,7 @@
         self.unit = units.get(units.len().saturating_sub(1) / 4).copied().unwrap_or(0.0);
     }
 
-    fn says(&self, name: &str) -> f64 {
+    pub(crate) fn says(&self, name: &str) -> f64 {
         self.figures.get(name).copied().unwrap_or(0.0)
     }
 
@@ -337,6 +333,7 @@
         }
         self.keep_to(now);
         self.survey(now);
+        self.tell_joint(now, acts);
         self.follow(now, acts);
     }
 
@@ -344,16 +341,16 @@
     /// long as four to twelve share a worker: fewer lanes are heard of more often, and by more the chance of
     /// who sends how much evens out. Those who tell each other hear from however many share.
     fn stretches(&self, n: usize) -> usize {
-        let each = n as f64 / self.dispatchers;
+        let each = n as f64 / self.among();
         let most = if self.shares { f64::INFINITY } else { SHARERS * each };
         (8.0_f64.max(4.0 * each).min(most).ceil() as usize).min(n)
     }
 
     /// Which workers each scheme's lanes are: one of each stretch of ids, by turns over the dispatchers.
-    fn keep_to(&mut self, now: Nanos) {
+    pub(crate) fn keep_to(&mut self, now: Nanos) {
         self.sharers = 1.0;
         for at in 0..self.schemes.len() {
-            let (me, all) = (self.says("me") as usize, &self.schemes[at].all);
+            let (me, all) = (self.me, &self.schemes[at].all);
             let n = all.len();
             let m = self.stretches(n);
             let pick = |lane: usize| {
@@ -369,14 +366,14 @@
                 let mut all = std::iter::once(among[turn]).chain(warm);
                 all.find(|at| !self.workers[*at].refuses(now)).unwrap_or(among[turn])
             };
-            let lanes = (0..m).map(pick).collect();
+            let lanes = if self.met { self.dealt(now, all, m) } else { (0..m).map(pick).collect() };
             self.schemes[at].lanes = lanes;
             self.sharers = f64::max(self.sharers, self.dispatchers * m as f64 / (n as f64).max(1.0));
         }
     }
 
     /// The part of its full capacity that a worker surely has: the settings' slowest way up.
-    fn warmth(&self, worker: &Worker, now: Nanos) -> f64 {
+    pub(crate) fn warmth(&self, worker: &Worker, now: Nanos) -> f64 {
         if worker.started == 0 {
             return 1.0;
         }
@@ -388,6 +385,9 @@
     /// this one stands: none where it is not its turn. All clocks are one, and numbers next to each other
     /// take different workers of a stretch. Guards against parts in which no job fits.
     fn turn(&self, worker: &Worker, now: Nanos) -> (f64, f64) {
+        if self.rights {
+            return self.own_part(worker, now);
+        }
         let (warmth, window) = (self.warmth(worker, now), self.says("fall.window").max(1.0));
         // Half of what is allowed: a third may come from those not told of its start, the rest is for hints.
         let most = 0.5 * self.says("fall.multiple") * self.unit * worker.size * warmth * window;
@@ -405,11 +405,12 @@
     }
 
     /// What this dispatcher may still send to a cold worker now.
-    fn budget(&self, worker: &Worker, now: Nanos) -> f64 {
+    pub(crate) fn budget(&self, worker: &Worker, now: Nanos) -> f64 {
         let (most, part) = self.turn(worker, now);
         let from = now.saturating_sub(self.says("fall.window") as Nanos);
         let spent = worker.spent.iter().filter(|(at, _)| *at >= from).map(|(_, work)| work);
-        if part > 0.0 { most - spent.sum::<f64>() } else { 0.0 }
+        let own = if part > 0.0 { most - spent.sum::<f64>() } else { 0.0 };
+        if self.rights { own.max(0.0) + worker.granted(now) } else { own }
     }
 
     /// Draws a scheme's lanes anew.
@@ -426,7 +427,8 @@
         targets.extend(shifts(self.schemes[at].lanes.len(), r).zip(&self.schemes[at].lanes).map(|(p, w)| {
             let (worker, warmth) = (&self.workers[*w], self.warmth(&self.workers[*w], now));
             // One that is sent to by turns has the whole of its part in its turn.
-            let part = if warmth < 1.0 { warmth * self.turn(worker, now).1 } else { 1.0 };
+            let turn = if warmth < 1.0 { self.turn(worker, now).1 } else { 1.0 };
+            let part = if self.rights && self.met { warmth } else { warmth.min(1.0) * turn };
             (1.0 + p) * worker.size * (1.0 - worker.doubt(now, self.distrust, at, effect)) * part
         }));
         let scheme = &mut self.schemes[at];
@@ -461,6 +463,7 @@
         let fleet = self.unseen * fade(self.lag, self.lag_at, now, SECOND * self.rare);
         let late = fade(self.late, self.lag_at, now, SECOND * self.rare);
         let (mut least, mut best) = (f64::INFINITY, None);
+        self.lacking = None;
         for step in 0..2 * lanes.len() {
             let far = step.div_ceil(2);
             let lane = if step % 2 == 1 { mine.checked_add(far) } else { mine.checked_sub(far) };
@@ -480,9 +483,11 @@
             // One's part of the seats, which a job as large may have alone, less what others told of.
             let (sharing, all) = (if self.shares { 1.0 } else { self.dispatchers }, worker.seats.round());
             let (part, told) = ((all / sharing).max(1.0), worker.told(now).0);
+            let seat = worker.out + told + need.min(part) <= part;
             let doubt = worker.doubt(now, self.distrust, usize::from(txn.scheme), effect);
             let cold = self.warmth(worker, now) < 1.0;
             if cold && self.budget(worker, now) < work && !is(Fault::ColdIgnored) {
+                self.lacking = self.lacking.or(seat.then_some(at));
                 continue;
             }
             let room = hand.room(now, worker.pace).max(1.0);
@@ -492,7 +497,7 @@
             let strain = wait / room;
             // Taken when there is a seat for it in this dispatcher's part, the worker is not distrusted, and
             // it would start about at once: a twentieth of the room before the SLA time is within error.
-            if worker.out + told + need.min(part) <= part && doubt < 0.25 && strain < 0.05 {
+            if seat && doubt < 0.25 && strain < 0.05 {
                 return Some((at, wait, strain));
             }
             // Own jobs in flight, and their work, weigh again: what others see and do is alike. A job that
@@ -541,7 +546,9 @@
             return self.input(now, id, Input::GivenUp, acts);
         }
         let lane = self.lane(now, key);
-        match self.choose(now, key, lane) {
+        let chosen = self.choose(now, key, lane);
+        match chosen {
+            _ if self.awaits_right(now, key, acts) => {}
             Some((at, cost, strain)) if posted > 0 || self.kept(now, key, cost, strain) => {
                 self.post(now, key, at, cost, acts);
             }
@@ -584,7 +591,8 @@
         let worker = &mut self.workers[at];
         worker.spent.retain(|(at, _)| *at >= from);
         if cold {
-            worker.spent.push_back((now, hand.work));
+            let own = worker.spend(now, hand.work);
+            worker.spent.push_back((now, own));
         }
         let expected = worker.queue(hand.need, worker.told(now));
         hand.legs[hand.posted] = Posting { worker: at, at: now, expected, started: None, out: true };
@@ -708,13 +716,6 @@
         self.input(now, txn, input, acts);
     }
 
-    /// Workers of one kind have as many seats as any of them was seen to fill.
-    fn seats(&mut self, kind: u8, seen: f64) {
-        for worker in self.workers.iter_mut().filter(|worker| worker.kind == kind && worker.seats < seen) {
-            worker.seats = seen;
-        }
-    }
-
     fn read_report(&mut self, now: Nanos, at: usize, report: Report) {
         // No worker holds so many; what is not a number, or below none, counts as not reported.
         let sane = |value: &f32| (0.0..1e4).contains(value);
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -706,6 +706,7 @@
 fn numbered(me: u32, dispatchers: u32, workers: u8) -> Dispatcher {
     let mut d = sharing(dispatchers, workers);
     d.figures.insert("me", f64::from(me));
+    d.me = me as usize;
     d.keep_to(0);
     d
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -94,12 +94,26 @@
     pub posted: usize,
     /// The first posting that may have run: its worker and when it was sent.
     pub doubt: Option<(usize, Nanos)>,
+    /// Whether it has waited for a right.
+    pub asked: bool,
 }
 
 impl InHand {
     pub fn new(txn: Txn, effect: Effect, work: f64, run: f64, need: f64, due: Nanos) -> Self {
         let legs = [Posting::default(); LEGS];
-        InHand { txn, effect, stage: Stage::Held, work, run, need, due, legs, posted: 0, doubt: None }
+        InHand {
+            txn,
+            effect,
+            stage: Stage::Held,
+            work,
+            run,
+            need,
+            due,
+            legs,
+            posted: 0,
+            doubt: None,
+            asked: false,
+        }
     }
 
     /// When and with what work it was posted to a worker, from a moment on.
@@ -196,6 +210,8 @@
     pub refused_till: Nanos,
     /// What this dispatcher sent it of late while it is cold, and when.
     pub spent: VecDeque<(Nanos, f64)>,
+    /// Rights to send it work while it is cold: until when, and how much is left.
+    pub rights: Vec<(Nanos, f64)>,
     /// Of this dispatcher's postings out: the seats they take, the slots running, the time they still need.
     pub out: f64,
     pub running: f64,
@@ -211,6 +227,18 @@
         Worker { id, started, of, seats: 2.0, pace: 1.0, own_pace: 1.0, ..Worker::default() }
     }
 
+    /// Whether it took no connection of late.
+    pub fn refuses(&self, now: Nanos) -> bool {
+        now < self.refused_till
+    }
+
+    /// It gave a sign of life, which makes up for part of its distrust.
+    pub fn heard(&mut self, now: Nanos, by: f64) {
+        (self.refusals, self.refused_till) = (0, 0);
+        self.trust.add(now, Worker::HALF, -by);
+        self.alive = now;
+    }
+
     /// Whether it is served first come first served and has started what was posted later: by more than
     /// connections differ in the time they take.
     pub fn passed(&self, posting: &Posting) -> bool {
@@ -433,6 +461,16 @@
     pub(crate) most_postings: usize,
     /// How many there are, and the part that this one does not see: a lone one knows all that waits.
     pub(crate) dispatchers: f64,
+    /// Its place among them.
+    pub(crate) me: usize,
+    /// How many the settings speak of, which no view changes, and whether it ever had a view.
+    pub(crate) slots: f64,
+    pub(crate) met: bool,
+    /// Whether rights to cold workers are given by one of the dispatchers, and when this one started.
+    pub(crate) rights: bool,
+    pub(crate) begun: Nanos,
+    /// The cold worker, nearest to its lane, for which the txn last looked at lacked a right.
+    pub(crate) lacking: Option<usize>,
     pub(crate) unseen: f64,
     /// How many dispatchers keep to one worker.
     pub(crate) sharers: f64,
@@ -487,6 +525,10 @@
             chance: Pcg::new(seed),
             schemes,
             dispatchers,
+            me: me as usize,
+            slots: dispatchers,
+            rights: pick_or(map, "rights", false)?,
+            begun: now,
             unseen: 1.0 - 1.0 / dispatchers,
             most_postings: pick::<usize>(map, "posting.most")?.min(LEGS),
             report_at: ["free-slots", "inflight"].map(|name| fields.split(',').position(|f| f == name)),
@@ -500,6 +542,13 @@
         })
     }
 
+    /// Workers of one kind have as many seats as any of them was seen to fill.
+    pub(crate) fn seats(&mut self, kind: u8, seen: f64) {
+        for worker in self.workers.iter_mut().filter(|worker| worker.kind == kind && worker.seats < seen) {
+            worker.seats = seen;
+        }
+    }
+
     /// Brings up to date what follows from the postings out and from the clock.
     pub(crate) fn tally(&mut self, now: Nanos) {
         for at in self.touched.drain(..) {
--- a/src/types.rs
+++ b/src/types.rs
@@ -144,6 +144,14 @@
         from: u16,
         share: Share,
     },
+    /// This dispatcher's place among so many that run; none where that is not known: then as the settings say.
+    View(Option<(u16, u16)>),
+    /// So much work may be sent to a cold worker up to then, beside what it has a part in anyway.
+    Right {
+        worker: WorkerId,
+        work: Nanos,
+        until: Nanos,
+    },
     Lapsed {
         txn: TxnId,
     },
@@ -178,6 +186,17 @@
         to: u16,
         share: Share,
     },
+    /// A right to send so much work to a cold worker is wanted.
+    Want {
+        worker: WorkerId,
+        work: Nanos,
+    },
+    /// What all dispatchers together may be given for a cold worker in any window; 0 once it is warm.
+    Joint {
+        worker: WorkerId,
+        work: Nanos,
+        window: Nanos,
+    },
     Timer {
         at: Nanos,
         token: u64,
