Datagrams in the virtual world; a process that leaves no longer spins; docs

The world's ground has datagrams now: lost, doubled, late, deaf, mute and split dispatchers, wall clocks that differ; half of the drawn worlds with several dispatchers have members, drawn by a stream of its own. Traced to Members::due, which returns at once when leaving, while next_due went on naming a moment in the past, so the driver's loop never waited. next_due names none once it leaves; test one_that_leaves_has_nothing_due_any_more fails without it. Ruled out by the timeline: loads, datagrams, other states (no world without a stop had it).

--- a/crates/cluster/src/field_tests.rs
+++ b/crates/cluster/src/field_tests.rs
@@ -179,6 +179,17 @@
     assert!(took <= 500 * MS, "{} ms", took / MS);
 }
 
+/// Guards against a process that, on its way out, turns round and round for what is long due (found by the virtual world).
+#[test]
+fn one_that_leaves_has_nothing_due_any_more() {
+    let mut field = started(3, 1);
+    field.act(1, |cluster, now, effects| {
+        cluster.leave(now, effects);
+        cluster.due(now + SECOND, effects);
+        assert!(cluster.next_due() > now + 3_600 * SECOND);
+    });
+}
+
 /// Bytes a second and member stay flat in the fleet's size. By command: `cargo test -p rosewall-cluster --release -- --ignored`.
 #[test_case(10; "ten")]
 #[test_case(100; "a hundred")]
--- a/crates/cluster/src/members.rs
+++ b/crates/cluster/src/members.rs
@@ -359,6 +359,9 @@
     }
 
     pub fn next_due(&self) -> Nanos {
+        if self.leaving {
+            return Nanos::MAX / 2;
+        }
         if self.twice.is_some() {
             return self.aside_at;
         }
--- a/crates/world/src/core.rs
+++ b/crates/world/src/core.rs
@@ -1,6 +1,7 @@
 //! The virtual clock: what is to happen, in order, and who is to be woken by it. Events of one instant come in an
 //! order that the seed draws.
 use crate::judge::Judge;
+use crate::mail::{self, Post};
 use crate::net::Net;
 use async_executor::{LocalExecutor, Task};
 use rosewall::pcg::Pcg;
@@ -9,6 +10,7 @@
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
+use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::{Rc, Weak};
 use std::task::{Context, Poll, Waker};
@@ -60,6 +62,11 @@
         link: usize,
         half: usize,
     },
+    Datagram {
+        to: SocketAddr,
+        from: SocketAddr,
+        bytes: Vec<u8>,
+    },
 }
 
 #[derive(Default)]
@@ -74,6 +81,7 @@
     queue: RefCell<Queue>,
     chance: RefCell<Chance>,
     pub net: RefCell<Net>,
+    pub post: RefCell<Post>,
     pub judge: RefCell<Judge>,
     home: Weak<LocalExecutor<'static>>,
     /// Owners that something was woken for since they were last run.
@@ -99,6 +107,7 @@
             queue: RefCell::default(),
             chance: RefCell::new(Chance::new(seed, 0)),
             net: RefCell::new(net),
+            post: RefCell::default(),
             judge: RefCell::new(judge),
             home: Rc::downgrade(home),
             dirty: RefCell::default(),
@@ -195,6 +204,7 @@
                 waker.wake();
             }
             Some((_, Event::Deliver { link, half })) => Net::deliver(self, link, half),
+            Some((_, Event::Datagram { to, from, bytes })) => mail::deliver(self, to, from, bytes),
             None => {}
         }
         true
--- a/crates/world/src/draw.rs
+++ b/crates/world/src/draw.rs
@@ -1,7 +1,8 @@
 //! A scenario from a seed: sizes, schemes, load and faults, mixed so that troubles meet.
 use crate::core::Chance;
 use crate::scenario::{
-    BADNESSES, Bad, Effect, Fault, Group, Limits, Load, Net, One, Rules, Scenario, Scheme, Trouble, Worker,
+    BADNESSES, Bad, Effect, Fault, Group, Limits, Load, Members, Net, One, Rules, Scenario, Scheme, Trouble,
+    Worker,
 };
 
 const AT_WORKERS: [Trouble; 14] = [
@@ -163,7 +164,29 @@
             One { at_ms, scheme, dispatcher, work_ms, within_ms: Some(within), leave_ms }
         })
         .collect();
+    // Drawn last, and by a stream of its own, so that all else stays what it was under this seed.
+    let mut chance = Chance::new(seed, 2);
+    let members = (dispatchers > 1 && chance.is(0.5)).then(|| Members {
+        keepers: if dispatchers < 3 { 1 } else { *chance.among(&[0, 3, 3]) },
+        peers: chance.is(0.5),
+        loss: *chance.among(&[0.0, 0.05, 0.2]),
+        twice: *chance.among(&[0.0, 0.1]),
+        jitter_ms: *chance.among(&[0, 5, 200]),
+        skew_ms: *chance.among(&[0, 500, 5_000]),
+    });
+    for _ in 0..if members.is_some() { chance.below(0, 3) } else { 0 } {
+        let kind = *chance.among(&[Trouble::Deaf, Trouble::Mute, Trouble::Split, Trouble::Kill]);
+        let (at_ms, target) =
+            (chance.below(300, length_ms) as f64, chance.below(0, dispatchers as u64) as usize);
+        let for_ms = *chance.among(&[150.0, 1000.0, 2500.0]);
+        fault.push(Fault { at_ms, kind, target, for_ms, share: 1.0, scheme: 0 });
+    }
+    if members.is_some() && chance.is(0.5) {
+        let (at_ms, target) = (chance.below(300, length_ms) as f64, chance.below(0, count as u64) as usize);
+        fault.push(Fault { at_ms, kind: Trouble::Rebirth, target, for_ms: 0.0, share: 1.0, scheme: 0 });
+    }
     Scenario {
+        members,
         name: format!("drawn from {seed}"),
         seed,
         length_ms,
--- a/crates/world/src/lib.rs
+++ b/crates/world/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod explore;
 mod http;
 pub mod judge;
+mod mail;
 mod net;
 #[cfg(feature = "sabotage")]
 pub mod sabotage;
--- a/crates/world/src/scenario.rs
+++ b/crates/world/src/scenario.rs
@@ -25,6 +25,9 @@
     pub net: Net,
     #[serde(default)]
     pub rules: Rules,
+    /// Where dispatchers know each other.
+    #[serde(default)]
+    pub members: Option<Members>,
     pub scheme: Vec<Scheme>,
     pub worker: Vec<Worker>,
     #[serde(default)]
@@ -80,6 +83,22 @@
     }
 }
 
+/// What dispatchers are to each other, and their datagrams.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Members {
+    /// 1, 3 or 5; none where it is 0.
+    pub keepers: usize,
+    /// Whether they tell each other what they have out.
+    pub peers: bool,
+    pub loss: f64,
+    pub twice: f64,
+    /// Up to so much later than packets are.
+    pub jitter_ms: u64,
+    /// Their wall clocks are up to so far ahead.
+    pub skew_ms: u64,
+}
+
 /// The figures of the four rules.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -306,6 +325,10 @@
     Reload,
     /// As `Reload`, and the new address answers only after the time.
     ReloadDead,
+    /// No datagram reaches a dispatcher for a time; none of its is heard; none passes between those up to it and the rest.
+    Deaf,
+    Mute,
+    Split,
     /// Half of a dispatcher's descriptors are taken away for a time, by a reload, but 64.
     Tighten,
 }
@@ -376,6 +399,17 @@
     let [low, high] = scenario.net.latency_us;
     no(low > 0 && low <= high, "net", 0, "latencies begin above 0 and end no lower")?;
     no((0.0..=1.0).contains(&scenario.net.split), "net", 0, "a part lies from 0 to 1")?;
+    if let Some(members) = &scenario.members {
+        no(matches!(members.keepers, 0 | 1 | 3 | 5), "members", 0, "there are 0, 1, 3 or 5 keepers")?;
+        let parts = (0.0..=1.0).contains(&members.loss) && (0.0..=1.0).contains(&members.twice);
+        no(parts, "members", 0, "a part lies from 0 to 1")?;
+        no(
+            members.skew_ms <= 60_000 && members.jitter_ms <= 60_000,
+            "members",
+            0,
+            "up to a minute is played",
+        )?;
+    }
     for (at, one) in scheme.iter().enumerate() {
         no(one.expiry_ms > 0 && one.sla_ms > 0, "scheme", at, "times are above 0")?;
     }
--- a/crates/world/src/world.rs
+++ b/crates/world/src/world.rs
@@ -3,13 +3,15 @@
 use crate::client::{Clients, ms};
 use crate::core::{Chance, Core, MS, Owner, SECOND};
 use crate::judge::{Judge, Rule, Tally, Violation};
+use crate::mail::{self, VMail};
 use crate::net::{Net, VDoor, VStream, Ways};
 use crate::scenario::{Effect, Fault, Group, Scenario, Trouble};
 use crate::worker::{Process, Spell};
 use async_channel::Sender;
 use async_executor::{LocalExecutor, Task};
 use rosewall::types::{Nanos, Standing};
-use rosewall_drive::ground::{Ground, Mail};
+use rosewall_cluster::file::Joining;
+use rosewall_drive::ground::Ground;
 use rosewall_drive::node::Node;
 use rosewall_node::given::{self, Given};
 use serde_json::{Value, json};
@@ -26,11 +28,11 @@
 /// After the signal to stop: the longest expiry, 3 s at most, and 0.7 s more, then the process is killed.
 const KILL_MORE: Nanos = 700 * MS;
 const KILL_MOST: Nanos = 3 * SECOND;
-/// What may stay open at rest: the watch on the list. Tasks: hub, watch, door. Timers: the hub's, and two limits of
-/// the watch.
+/// What may stay open at rest: the watch on the list. Tasks: hub, watch, door, members. Timers: the hub's, the members', and two
+/// limits of the watch.
 const REST_OPEN: usize = 1;
-const REST_TASKS: usize = 3;
-const REST_TIMERS: usize = 4;
+const REST_TASKS: usize = 4;
+const REST_TIMERS: usize = 5;
 
 /// The ground that a dispatcher's drivers stand on here.
 pub struct Virtual {
@@ -38,6 +40,8 @@
     machine: usize,
     ex: Weak<LocalExecutor<'static>>,
     tasks: Rc<Cell<usize>>,
+    /// How far its wall clock is ahead.
+    ahead: Nanos,
 }
 
 struct Counted(Rc<Cell<usize>>);
@@ -48,34 +52,24 @@
     }
 }
 
-/// No datagrams in a world: its dispatchers are given no addresses to talk at.
-pub enum NoMail {}
-
-impl Mail for NoMail {
-    fn send(&self, _: &[u8], _: SocketAddr) -> io::Result<()> {
-        match *self {}
-    }
-
-    async fn receive(&self, _: &mut [u8]) -> io::Result<(usize, SocketAddr)> {
-        match *self {}
-    }
-}
-
 impl Ground for Virtual {
     type Stream = VStream;
     type Door = VDoor;
-    type Mail = NoMail;
+    type Mail = VMail;
 
-    fn mail(&self, _: SocketAddr, _: Option<SocketAddr>) -> io::Result<NoMail> {
-        Err(io::ErrorKind::Unsupported.into())
+    fn mail(&self, at: SocketAddr, through: Option<SocketAddr>) -> io::Result<VMail> {
+        match through {
+            Some(_) => Err(io::ErrorKind::Unsupported.into()),
+            None => Ok(VMail::new(&self.core, self.machine, at)),
+        }
     }
 
     fn now(&self) -> Nanos {
-        self.core.now()
+        self.core.now() + self.ahead
     }
 
     async fn until(&self, at: Nanos) {
-        self.core.until(self.machine, at).await;
+        self.core.until(self.machine, at.saturating_sub(self.ahead)).await;
     }
 
     fn spawn(&self, work: impl Future<Output = ()> + 'static) -> Task<()> {
@@ -136,6 +130,11 @@
     to.serialize_str(&format!("{digest:016x}"))
 }
 
+/// Where a dispatcher's datagrams come in.
+fn post_box(place: usize) -> SocketAddr {
+    ([10, 0, (place / 250) as u8, (place % 250) as u8 + 1], 7946).into()
+}
+
 fn door(place: usize) -> SocketAddr {
     ([10, 0, 0, place as u8], 3000).into()
 }
@@ -186,7 +185,28 @@
                 "Parties": [{"Name": "t"}], "Report": {"Fields": [], "How": "none"}, "Schemes": schemes,
             }
         });
-        given::read(text.to_string().as_bytes())
+        let mut given = given::read(text.to_string().as_bytes())?;
+        if let Some(members) = &self.scenario.members {
+            let count = |most: usize| 0..most.min(*dispatchers);
+            let joining = Joining {
+                cluster: "world".to_string(),
+                name: format!("n{place}"),
+                listen: post_box(place),
+                seeds: count(3).map(post_box).collect(),
+                keepers: count(members.keepers).map(|place| format!("n{place}")).collect(),
+                through: None,
+                clocks: members.skew_ms * MS,
+            };
+            given.map.insert("share.allowed".into(), members.peers.to_string());
+            given.join(joining).map_err(|fault| fault.line())?;
+        }
+        Ok(given)
+    }
+
+    /// How far the clock at a place is ahead: drawn, the same at each start.
+    fn ahead(&self, place: usize) -> Nanos {
+        let skew = self.scenario.members.as_ref().map_or(0, |members| members.skew_ms * MS);
+        Chance::new(self.scenario.seed, 60_000 + place as u64).below(0, skew + 1)
     }
 
     fn start_dispatcher(&self, place: usize) {
@@ -194,12 +214,12 @@
         let machine = core.net.borrow_mut().machine(0);
         core.net.borrow_mut().machines[machine].owner = machine;
         self.agents[place].beside.set(machine);
-        let known = self.agents[place].list(machine);
+        let (known, ahead) = (self.agents[place].list(machine), self.ahead(place));
         let started = self.given(place, &known, self.scenario.limits.sockets).and_then(|given| {
             let ex = Rc::new(LocalExecutor::new());
             let tasks = Rc::new(Cell::new(0));
             let ground =
-                Virtual { core: core.clone(), machine, ex: Rc::downgrade(&ex), tasks: tasks.clone() };
+                Virtual { core: core.clone(), machine, ex: Rc::downgrade(&ex), tasks: tasks.clone(), ahead };
             let door = Net::listen(core, machine, door(place), 128);
             let node = Node::start(ground, given, door)?;
             let mut places = self.places.borrow_mut();
@@ -385,6 +405,13 @@
                     self.start_dispatcher(place);
                 }
             }
+            Trouble::Deaf => drop(core.post.borrow_mut().deaf.insert(post_box(place), spell.until)),
+            Trouble::Mute => drop(core.post.borrow_mut().mute.insert(post_box(place), spell.until)),
+            Trouble::Split => {
+                // All up to this one on one side.
+                let mut post = core.post.borrow_mut();
+                post.apart.extend((0..=place).map(|place| (post_box(place), spell.until)));
+            }
             Trouble::Reload | Trouble::ReloadDead => {
                 let old = self.places.borrow()[place].address;
                 self.places.borrow_mut()[place].address = 1 - old;
@@ -443,6 +470,11 @@
             Ways { latency: (low * 1000, high * 1000), split: scenario.net.split, harsh: scenario.net.harsh };
         let judge = Judge::new(START, scenario.rules.clone(), &scenario.scheme);
         let core = Core::new(START, scenario.seed, Net::new(ways), judge, &home, trace);
+        if let Some(members) = &scenario.members {
+            let late = members.jitter_ms * MS;
+            let latency = (ways.latency.0, ways.latency.1 + late);
+            core.post.borrow_mut().ways = mail::Ways { loss: members.loss, twice: members.twice, latency };
+        }
         // Machine 0 is no one's, so that an owner that is not the world's has a number above it.
         core.net.borrow_mut().machine(0);
         let (fallen, falls) = async_channel::unbounded();
