Lanes of live dispatchers: a worker is the same lane to all, and keepers stay even

Cause: dealt like cards, workers had even keepers, but a worker was another lane, of other sizes, for each dispatcher, against the mechanism's point. Ruled out: the number of lanes, the same in all. Change, only where dispatchers know each other: one worker of each m-th part of the ids, which one moving on by a lane's width from place to place. Keepers still differ by one at most (the same tests).

--- a/src/joint.rs
+++ b/src/joint.rs
@@ -54,26 +54,33 @@
         if self.met { self.dispatchers.log2().ceil().exp2() } else { self.dispatchers }
     }
 
-    /// The workers that this one keeps to, where dispatchers come and go: dealt like cards, `m` to each in the order of
-    /// their places, round and round. So the keepers of two workers differ by one at most, whoever runs, and one's hand
-    /// follows from its own place alone. In place of one that takes no connection the next beyond its hand, if warm.
+    /// The workers that this one keeps to, where dispatchers come and go: one of each `m`th part of the ids, so that a
+    /// worker is the same lane, and gets the same sizes, whoever sends; which one of a part moves on by a lane's width from one
+    /// place to the next. So on each way round every worker is kept to once more: the keepers of two differ by one at most,
+    /// whoever runs, and one's lanes follow from its own place alone. In place of one that takes no connection the next
+    /// beyond it that is warm.
     pub(crate) fn dealt(&self, now: Nanos, all: &[usize], m: usize) -> Vec<usize> {
         let n = all.len();
-        let card = |step: usize| (self.me * m + step) % n;
-        let sound = |place: &usize| !self.workers[all[*place]].refuses(now);
-        let warm = |place: &usize| self.warmth(&self.workers[all[*place]], now) >= 1.0;
-        let mut others = (m..n).map(card).filter(|place| sound(place) && warm(place));
-        let hand =
-            (0..m).map(card).map(|place| if sound(&place) { place } else { others.next().unwrap_or(place) });
-        let mut hand: Vec<usize> = hand.collect();
+        let place = |lane: usize| (lane * n + self.me * m % n) / m;
+        let sound = |place: usize| !self.workers[all[place]].refuses(now);
+        let warm = |place: usize| self.warmth(&self.workers[all[place]], now) >= 1.0;
+        let mut hand: Vec<usize> = (0..m).map(place).collect();
+        for lane in 0..m {
+            if !sound(hand[lane]) {
+                let mut others = (1..n).map(|step| (hand[lane] + step) % n);
+                let other = others.find(|place| sound(*place) && warm(*place) && !hand.contains(place));
+                hand[lane] = other.unwrap_or(hand[lane]);
+            }
+        }
         hand.sort_unstable();
         hand.into_iter().map(|place| all[place]).collect()
     }
 
-    /// The other dispatchers to whom the worker at a place was dealt.
+    /// The other dispatchers that keep to the worker at a place.
     pub(crate) fn dealt_to(&self, place: usize, n: usize, m: usize) -> impl Iterator<Item = u16> {
         let (me, all) = (self.me, self.dispatchers as usize);
-        (0..all).filter(move |to| *to != me && (place + n - to * m % n) % n < m).map(|to| to as u16)
+        let keeps = move |to: usize| (to * m % n + n - place * m % n) % n < m;
+        (0..all).filter(move |to| *to != me && keeps(*to)).map(|to| to as u16)
     }
 
     pub(crate) fn right(&mut self, worker: WorkerId, work: Nanos, until: Nanos) {
