--- a/crates/node/src/given.rs
+++ b/crates/node/src/given.rs
@@ -79,12 +79,13 @@
 }
 
 impl Given {
-    /// Takes in how it joins the others: with keepers there are rights to cold workers.
+    /// Takes in how it joins the others. Cold workers are then sent to by rights, also where no keeper gives any: turns count
+    /// who runs, and one that is cut off would take itself for the only one.
     pub fn join(&mut self, joining: Joining) -> Result<(), ClusterError> {
         if self.talk.is_some() {
             return Err(ClusterError::TalkAndCluster);
         }
-        self.map.insert("rights".into(), (!joining.keepers.is_empty()).to_string());
+        self.map.insert("rights".into(), "true".to_string());
         self.joining = Some(joining);
         Ok(())
     }
