--- a/crates/node/src/given_tests.rs
+++ b/crates/node/src/given_tests.rs
@@ -78,3 +78,14 @@
     let mut pace = Pace::new(3);
     at_ms.iter().filter(|at| pace.allows((**at + 1) * 1_000_000)).count()
 }
+
+/// Guards against turns that count who runs, by which one that is cut off takes itself for the only one.
+#[test_case(""; "no keeper gives any")]
+#[test_case("keepers = [\"a\"]"; "a keeper")]
+fn whoever_joins_others_sends_to_cold_workers_by_rights(more: &str) {
+    let text = "version = 1\ncluster = \"c\"\nname = \"a\"\nlisten = \"127.0.0.1:1\"\nseeds = []\n";
+    let joining = rosewall_cluster::file::read("c.toml".as_ref(), &format!("{text}{more}")).unwrap();
+    let mut given = read(WHOLE.replacen("talk", "talkless", 1).as_bytes()).unwrap();
+    given.join(joining).unwrap();
+    assert_eq!(given.map["rights"], "true");
+}
