A watch that fell silent is opened anew before what it missed counts as told

Ruled out: the module (it drops a worker with the list that says so: tested since long) and the connections (nothing else was broken). Lines at fault: WAIT_MS and ANSWER in drive's discovery: a call of 20 s was given 6 s more, the whole list 6 s, a connect 2 s, and the pause grew to 1.6 s. Change: where lists are pushed, calls of 2 s that are given 0.2 s more, and while the agent is silent another call for the whole list each 0.2 s, each heard for 1 s. What else it holds against: an agent that forgets its calls as it comes back, one that is slow for once, an answer cut in the middle (0.5 s). It hurts where an agent beside the dispatcher takes over 1 s to begin an answer. Tests: a watch that falls silent, and an agent that comes back without its calls, the known one or that of a new configuration. On the text before all three fail: not heard in 20 s. The stand-in for discovery held calls past the wait they named, which the protocol does not allow and which only a watch of 20 s overlooked; it answers them now.

--- a/crates/drive/src/discovery.rs
+++ b/crates/drive/src/discovery.rs
@@ -1,31 +1,66 @@
 //! Reads and writes for discovery: the whole list, then one watch kept unbroken.
-use crate::ground::{Ground, Stream, pause, within};
+use crate::ground::{Ground, nanos, pause, within};
 use crate::shared::{News, Shared};
 use async_channel::{Receiver, Sender};
 use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
 use rosewall::sabotage::{Fault, is};
+use rosewall::types::Nanos;
 use rosewall_wire::discovery::{self, Bulletin};
 use std::convert::Infallible;
+use std::future::poll_fn;
 use std::io;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::rc::Rc;
+use std::task::Poll;
 use std::time::Duration;
 
-/// How long one call of the watch may wait, in ms: a third of what the protocol allows, so that a path that
-/// died silently is found in time.
-const WAIT_MS: u64 = 20_000;
+/// How long each step may take before the path to the list counts as broken. From the moment in which a watch falls silent
+/// to the list that a new one brings must lie less than 6 s, or less than 2 s past the call's wait where that is later:
+/// then what it missed counts as told, and a drain's grace may be a few hundred ms more.
+struct Spans {
+    /// How long one call of the watch may wait, in ms.
+    wait_ms: u64,
+    /// How much later than that its answer may begin.
+    past: Duration,
+    /// How soon an answer to a call for the whole list must begin, its connection included.
+    whole: Duration,
+    /// While none has come, how soon another call for the whole list goes out beside it.
+    again: Duration,
+}
+
+/// Where lists are pushed, an agent on this machine answers at once and at no cost: calls are short, so that one that
+/// died silently is found within 2.2 s. While the agent says nothing, a new call goes out each 0.2 s and each is heard for
+/// 1 s: what the agent has counts from its return on, and it may not know the calls of before; yet one that is
+/// slow for once is heard too. Guards, too, against graces of a few hundred ms. It hurts where an agent takes over 1 s.
+const PUSHED: Spans = Spans {
+    wait_ms: 2_000,
+    past: Duration::from_millis(200),
+    whole: Duration::from_secs(1),
+    again: Duration::from_millis(200),
+};
+
+/// Where each call costs the service, it waits for as long as is allowed to be found out in time. A call for the whole list
+/// is given three times what services let calls wait in turn: guards against giving up, at the last moment, what a
+/// service that all ask at once has worked for. The pause after a failure is the decisions'.
+const ASKED: Spans = Spans {
+    wait_ms: 20_000,
+    past: Duration::from_millis(700),
+    whole: Duration::from_secs(6),
+    again: Duration::MAX,
+};
+
+/// The pause after a failure where calls cost nothing: a spin is no use, and a drain's grace is longer.
+const PAUSE: Duration = Duration::from_millis(50);
+
+/// How long the rest of an answer may take once it has begun: hundreds of times what one machine or data centre needs.
+const REST: Duration = Duration::from_millis(500);
 /// How long a connection is given to come up.
-const GRACE: Duration = Duration::from_secs(2);
-/// How much longer than it may wait a call is given, and how long a call for the whole list: three times what services
-/// let calls wait in turn. Guards against giving up, at the last moment, what a service that all ask at once has worked for.
-const ANSWER: Duration = Duration::from_secs(6);
-/// The first pause after a failure, doubled up to the last one.
-const PAUSE: Duration = Duration::from_millis(100);
-const PAUSE_MOST: Duration = Duration::from_millis(1600);
+const CONNECT: Duration = Duration::from_secs(2);
 const READ: usize = 16 * 1024;
 
 /// Follows the list for ever, from each address that `moves` names. Where it comes only when asked, it waits for leave
-/// before each new attempt, and the decisions are told of failures; else it pauses a little longer after each.
+/// before each new attempt, and the decisions are told of failures; else it pauses a little after each.
 pub async fn follow<G: Ground>(
     shared: Rc<Shared<G>>,
     address: SocketAddr,
@@ -77,7 +112,8 @@
     told: Sender<()>,
     mut from: Option<u64>,
 ) {
-    let mut rest = PAUSE;
+    let spans = if leave.is_some() { &ASKED } else { &PUSHED };
+    let mut failures = 0;
     loop {
         if let Some(leave) = leave
             && std::mem::replace(&mut waits, true)
@@ -86,17 +122,20 @@
             return;
         }
         let mut seen = false;
-        let Err(fault) = watch(shared, address, &mut seen, &told, &mut from).await;
+        let Err(fault) = watch(shared, spans, address, &mut seen, &told, &mut from).await;
+        failures = if seen || leave.is_some() { 0 } else { failures + 1 };
         // Where each call costs the service, the list goes on from the version that is known: one call in place of two,
         // and the changes in place of the whole. Guards against a service that is kept busy by those it failed.
         from = from.filter(|_| leave.is_some());
         shared.counters.lists_failed.add();
-        log::warn!("discovery: {fault}");
+        // One line of some twenty tells as much, where calls follow each other closely.
+        if failures % 20 <= 1 {
+            log::warn!("discovery: {fault}");
+        }
         if leave.is_some() {
             shared.tell(News::ListFailed);
         } else {
-            rest = if seen { PAUSE } else { (rest * 2).min(PAUSE_MOST) };
-            pause(&shared.ground, rest).await;
+            pause(&shared.ground, PAUSE).await;
         }
     }
 }
@@ -104,24 +143,23 @@
 /// One watch, from the whole list until it breaks.
 async fn watch<G: Ground>(
     shared: &Shared<G>,
+    spans: &Spans,
     address: SocketAddr,
     seen: &mut bool,
     told: &Sender<()>,
     from: &mut Option<u64>,
 ) -> Result<Infallible, String> {
-    let mut kept = None;
+    let (ground, mut kept) = (&shared.ground, None);
     loop {
-        let mut stream = match kept.take() {
-            Some(stream) => stream,
-            None => {
-                connect(&shared.ground, address).await.map_err(|error| format!("no connection: {error}"))?
-            }
+        let wait = from.map(|seq| (seq, spans.wait_ms));
+        let text = discovery::call(&address.to_string(), wait);
+        let begin = wait.map_or(spans.whole, |(_, ms)| Duration::from_millis(ms) + spans.past);
+        let call = |kept: Option<G::Stream>| exchange(ground, address, kept, &text, begin);
+        let answer = match kept.take() {
+            None if wait.is_none() => soonest(ground, spans.again, || call(None)).await,
+            kept => call(kept).await,
         };
-        let wait = from.map(|seq| (seq, WAIT_MS));
-        let limit = ANSWER + Duration::from_millis(if wait.is_some() { WAIT_MS } else { 0 });
-        let call = discovery::call(&address.to_string(), wait);
-        let answer = within(&shared.ground, limit, exchange(&mut stream, &call)).await;
-        let (text, keeps) = answer.map_err(|error| format!("no answer: {error}"))?;
+        let (stream, text, keeps) = answer.map_err(|error| format!("no answer: {error}"))?;
         let listing = discovery::listing(&text, &shared.names).map_err(|fault| {
             // Passed over, and the whole list is fetched by a new watch.
             shared.counters.lists_malformed.add();
@@ -138,21 +176,68 @@
     }
 }
 
-async fn connect<G: Ground>(ground: &G, address: SocketAddr) -> io::Result<G::Stream> {
-    within(ground, GRACE, ground.connect(address)).await
-}
-
-async fn exchange(stream: &mut impl Stream, call: &[u8]) -> io::Result<(Vec<u8>, bool)> {
-    stream.write_all(call).await?;
-    let (mut bulletin, mut buffer) = (Bulletin::default(), vec![0; READ]);
+/// The first answer of calls of which another goes out each so often, while those before are still heard.
+async fn soonest<G: Ground, T, F: Future<Output = io::Result<T>>>(
+    ground: &G,
+    again: Duration,
+    call: impl Fn() -> F,
+) -> io::Result<T> {
+    let (mut calls, mut next): (Vec<Pin<Box<F>>>, Nanos) = (Vec::new(), 0);
     loop {
-        let count = stream.read(&mut buffer).await?;
-        if count == 0 {
-            let text = bulletin.closed().ok_or(io::ErrorKind::UnexpectedEof)?;
-            return Ok((text, false));
+        if ground.now() >= next {
+            calls.push(Box::pin(call()));
+            next = ground.now().saturating_add(nanos(again));
         }
-        if let Some(answer) = bulletin.feed(&buffer[..count]).map_err(io::Error::other)? {
-            return Ok(answer);
+        let ended = poll_fn(|cx| {
+            let polled = calls.iter_mut().map(|call| call.as_mut().poll(cx));
+            match polled.enumerate().find(|(_, polled)| polled.is_ready()) {
+                Some((at, Poll::Ready(ended))) => Poll::Ready(Some((at, ended))),
+                _ => Poll::Pending,
+            }
+        });
+        let another = async {
+            ground.until(next).await;
+            None
+        };
+        if let Some((at, ended)) = ended.or(another).await {
+            drop(calls.remove(at));
+            if ended.is_ok() || calls.is_empty() {
+                return ended;
+            }
         }
     }
 }
+
+/// One call over a connection that is kept, or a new one, and its answer, which must begin within a time and then come
+/// whole: the connection, the text and whether the next call may go over it.
+async fn exchange<G: Ground>(
+    ground: &G,
+    address: SocketAddr,
+    kept: Option<G::Stream>,
+    call: &[u8],
+    begin: Duration,
+) -> io::Result<(G::Stream, Vec<u8>, bool)> {
+    let mut buffer = vec![0; READ];
+    let first = async {
+        let mut stream = match kept {
+            Some(stream) => stream,
+            None => within(ground, CONNECT, ground.connect(address)).await?,
+        };
+        stream.write_all(call).await?;
+        let count = stream.read(&mut buffer).await?;
+        Ok((stream, count))
+    };
+    let (mut stream, mut count) = within(ground, begin, first).await?;
+    let mut bulletin = Bulletin::default();
+    let rest = async {
+        while count > 0 {
+            if let Some((text, keeps)) = bulletin.feed(&buffer[..count]).map_err(io::Error::other)? {
+                return Ok((stream, text, keeps));
+            }
+            count = stream.read(&mut buffer).await?;
+        }
+        let text = bulletin.closed().ok_or(io::ErrorKind::UnexpectedEof)?;
+        Ok((stream, text, false))
+    };
+    within(ground, REST, rest).await
+}
--- a/crates/rig/src/stand.rs
+++ b/crates/rig/src/stand.rs
@@ -36,6 +36,12 @@
     Silent,
     /// Done, and then the connection is dropped as soon as anything more comes on it.
     DoneStale,
+    /// Lines on progress without an end, as fast as they are taken.
+    Endless,
+    /// Done, and then more lines without an end, one each 20 ms.
+    DoneEndless,
+    /// Done, and as the next posting's first bytes come a second answer, by which that one has not started.
+    DoneTwice,
 }
 
 /// What all workers of a test are to do, in the order of postings; then `Done`.
@@ -159,6 +165,25 @@
             let _ = stream.read(&mut [0]);
             return None;
         }
+        Act::Endless | Act::DoneEndless => {
+            stream.write_all(format!("{chunked}{}", chunk(&line("started"))).as_bytes()).ok()?;
+            if act == Act::DoneEndless {
+                stream.write_all(chunk(&(done + "\n")).as_bytes()).ok()?;
+            }
+            let running = chunk(&line("running"));
+            let flood = running.repeat(if act == Act::Endless { 1_000 } else { 1 });
+            loop {
+                stream.write_all(flood.as_bytes()).ok()?;
+                if act == Act::DoneEndless {
+                    thread::sleep(Duration::from_millis(20));
+                }
+            }
+        }
+        Act::DoneTwice => {
+            stream.write_all(whole(&(done + "\n")).as_bytes()).ok()?;
+            stream.peek(&mut [0]).ok()?;
+            "HTTP/1.1 503 Other\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n".to_string()
+        }
         Act::Silent => {
             // Until the dispatcher gives up.
             let _ = stream.read(&mut [0]);
@@ -190,6 +215,9 @@
     garbage: Option<&'static str>,
     /// Whether `hosts` is the whole list as it is now, for whoever missed a change.
     keeps: bool,
+    /// How often it has forgotten all calls that were open, and whether it takes calls and answers none.
+    fallen: u32,
+    deaf: bool,
 }
 
 #[derive(Clone)]
@@ -222,15 +250,28 @@
         board.calls += 1;
         board.watched = index.unwrap_or(0);
         news.notify_all();
-        // A version that it never gave out is answered at once.
-        while !board.down && index == Some(board.seq) {
-            board = news.wait(board).unwrap();
+        // A version that it never gave out is answered at once, one that it knows as the newest once the call's wait is over.
+        let wait = head.split_once("wait=").and_then(|(_, rest)| rest.split(['&', ' ']).next()?.parse().ok());
+        let late = Instant::now() + Duration::from_millis(wait.unwrap_or(60_000));
+        let (fallen, mut over) = (board.fallen, false);
+        while !board.down && board.fallen == fallen && (board.deaf || index == Some(board.seq) && !over) {
+            let left = late.saturating_duration_since(Instant::now());
+            board = news.wait_timeout(board, left.max(Duration::from_millis(1))).unwrap().0;
+            over = Instant::now() >= late;
+        }
+        if board.fallen != fallen {
+            // This call is never answered.
+            drop(board);
+            let _ = stream.read(&mut [0]);
+            return None;
         }
         if board.down {
             return None;
         }
         let whole = index.is_none_or(|index| board.keeps && index + 1 < board.seq);
-        let hosts = if whole { &board.hosts } else { &board.changed };
+        let none = Vec::new();
+        let news = if over { &none } else { &board.changed };
+        let hosts = if whole { &board.hosts } else { news };
         let list = json!({"seq": board.seq, "whole": whole, "hosts": hosts}).to_string();
         let text = board.garbage.take().map_or(list, str::to_string);
         let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{text}", text.len());
@@ -272,6 +313,31 @@
         self.until(|board| board.garbage.is_none() && board.watched == board.seq);
     }
 
+    /// Never answers the calls that are open now.
+    pub fn fall_silent(&self) {
+        self.change(|board| board.fallen += 1);
+    }
+
+    /// Takes calls and answers none.
+    pub fn go_deaf(&self) {
+        self.change(|board| board.deaf = true);
+    }
+
+    /// Answers again, but none of the calls of before.
+    pub fn come_to(&self) {
+        self.change(|board| (board.deaf, board.fallen) = (false, board.fallen + 1));
+    }
+
+    /// Waits until the program has read what was put up last.
+    pub fn until_followed(&self) {
+        self.until(|board| board.watched == board.seq);
+    }
+
+    /// Waits until so many calls have come.
+    pub fn until_called(&self, calls: u32) {
+        self.until(|board| board.calls >= calls);
+    }
+
     pub fn go_down(&self) {
         self.change(|board| board.down = true);
     }
