A posting that waits for its connection is called off when its worker drains

Seen by reading, then by a test: a posting may wait for a descriptor, a kept connection and a new one, up to the connect time each, and then went out without a look at whether its worker had been told to drain, to be gone or to be another process. With a connect time of some seconds it did so seconds after the list. Lines at fault: Hub::list, which closed idle connections only; a posting's legs did not know their workers. Change: a list calls off what is out to workers that take nothing new and is not written to its last byte; such a posting has not run, ends as moot and is placed anew. The same flag as for a client that has left. What else it holds against: a connection to a process that was replaced meanwhile. It hurts little: one that is within its last 2 ms is placed again. Test: a connection that comes up only after the list said draining, or gone. On the text before both fail: the posting came.

--- a/crates/node/src/hub.rs
+++ b/crates/node/src/hub.rs
@@ -6,7 +6,7 @@
 use rosewall::policy::Dispatcher;
 use rosewall::sabotage::{Fault, is};
 use rosewall::types::{
-    Action, Ended, Event, Nanos, Outcome, Probed, Report, Scope, Share, Txn, TxnId, WorkerId,
+    Action, Ended, Event, Nanos, Outcome, Probed, Report, Scope, Share, Standing, Txn, TxnId, WorkerId,
 };
 use rosewall_wire::client::{Answer, Request};
 use rosewall_wire::discovery::Listing;
@@ -84,7 +84,7 @@
         answer: Answer,
     },
     Post(Errand),
-    /// Its client has left: what was not written to its last byte yet need not be sent.
+    /// Its client has left, or its worker takes nothing new: what was not written to its last byte yet is not sent.
     CallOff {
         txn: TxnId,
         leg: u8,
@@ -136,8 +136,8 @@
     expiry: Nanos,
     /// Whether the final answer is still to come.
     owed: bool,
-    /// The postings, and which of them are out.
-    legs: Vec<bool>,
+    /// The postings: the worker of each that is out.
+    legs: Vec<Option<WorkerId>>,
 }
 
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -229,7 +229,7 @@
                     && std::mem::take(&mut held.owed)
                 {
                     // Guards against work that is begun for someone who has left while a connection was coming up.
-                    let legs = held.legs.iter().enumerate().filter(|(_, is_out)| **is_out);
+                    let legs = held.legs.iter().enumerate().filter(|(_, worker)| worker.is_some());
                     out.extend(legs.map(|(leg, _)| Effect::CallOff { txn, leg: leg as u8 }));
                     self.counters.clients_left.add();
                     self.decide(now, Event::Lapsed { txn }, out);
@@ -262,6 +262,15 @@
     fn list(&mut self, now: Nanos, scope: Scope, listing: Listing, out: &mut Vec<Effect>) {
         self.ready |= scope != Scope::Kept || !listing.hosts.is_empty();
         let (entries, void, clashing) = self.workers.take(now, listing);
+        // Guards against a posting that waits for its connection, and goes out over it after its worker was told to
+        // drain: it has not run, and is placed anew. One whose last bytes are on their way loses 2 ms of its time.
+        let mut closed: FxHashSet<WorkerId> = void.iter().copied().collect();
+        closed.extend(entries.iter().filter(|e| e.standing != Standing::Ready).map(|e| e.worker));
+        for (_, held) in self.txns.iter().filter(|_| !closed.is_empty()) {
+            let legs = held.legs.iter().enumerate();
+            let legs = legs.filter(|(_, worker)| worker.is_some_and(|worker| closed.contains(&worker)));
+            out.extend(legs.map(|(leg, _)| Effect::CallOff { txn: held.txn, leg: leg as u8 }));
+        }
         // Connections to a process that is no more are not used again.
         out.extend(void.into_iter().map(|worker| Effect::Void { worker, dial: None }));
         self.counters.hosts_clashing.more(clashing);
@@ -292,7 +301,7 @@
     }
 
     fn is_out(&mut self, txn: TxnId, leg: u8) -> bool {
-        self.held(txn).is_some_and(|held| held.legs.get(usize::from(leg)) == Some(&true))
+        self.held(txn).is_some_and(|held| held.legs.get(usize::from(leg)).is_some_and(Option::is_some))
     }
 
     fn told(&mut self, now: Nanos, txn: TxnId, leg: u8, told: Told, out: &mut Vec<Effect>) {
@@ -334,9 +343,7 @@
         }
         let Some(held) = self.held(txn) else { return };
         let complete = !held.owed;
-        if let Some(is_out) = held.legs.get_mut(usize::from(leg))
-            && std::mem::take(is_out)
-        {
+        if held.legs.get_mut(usize::from(leg)).is_some_and(|worker| worker.take().is_some()) {
             // At its end the connection is still read until it is free; at the expiry it goes with the posting.
             out.push(match outcome {
                 Outcome::TimeOut => Effect::Cut { txn, leg },
@@ -351,7 +358,7 @@
     /// Forgets a txn that is answered and has nothing out.
     fn settle_up(&mut self, txn: TxnId) {
         let Some(place) = self.places.get(&txn).copied() else { return };
-        let over = |held: &Held| !held.owed && !held.legs.contains(&true);
+        let over = |held: &Held| !held.owed && held.legs.iter().all(Option::is_none);
         if is(Fault::TxnKept) && self.txns.get(place).is_some_and(|held| held.legs.len() > 1) {
             return;
         }
@@ -482,7 +489,7 @@
         let owed = held.owed && left > 0;
         must!(counters, held.owed, "nothing is posted for a txn that was answered");
         let Some((host, dial)) = known.filter(|_| owed) else {
-            held.legs.push(false);
+            held.legs.push(None);
             counters.ended_moot.add();
             let (outcome, report) = (Outcome::Moot, Report::default());
             let ended = Ended { txn, leg, outcome, complete: !owed, report };
@@ -495,7 +502,7 @@
         let id = held.request.id.clone();
         // Half of what is left at most, so that another worker can still be tried after a vanished one.
         let connect_within = connect_within.min(left / 2);
-        held.legs.push(true);
+        held.legs.push(Some(worker));
         out.push(Effect::Post(Errand { txn, leg, worker, dial, id, message, connect_within }));
     }
 
--- a/crates/rosewalld/tests/ends.rs
+++ b/crates/rosewalld/tests/ends.rs
@@ -1,5 +1,8 @@
 //! Where something ends while something is still owed: the crossing is forced by the stand-ins. See `docs/ends.md`.
-use rosewall_rig::stand::{Daemon, Discovery, Worker, configuration, host, script};
+use rosewall_rig::stand::{
+    Daemon, Discovery, Worker, configuration, host, request, script, vanished_machine,
+};
+use std::io::Read;
 use std::time::{Duration, Instant};
 use test_case::test_case;
 
@@ -75,3 +78,29 @@
     assert!(begun.elapsed() < Duration::from_millis(350), "heard after {:?}", begun.elapsed());
     nothing_goes_to_the_first(&stage.daemon, &stage.workers);
 }
+
+/// Guards against a posting that waits for its connection, and goes out over it though its worker drains meanwhile.
+#[test_case("draining")]
+#[test_case("gone")]
+fn a_posting_whose_worker_drains_while_its_connection_comes_up_is_not_sent(health: &str) {
+    let (listener, (dial, queue)) = vanished_machine();
+    let worker = Worker::start(&script(&[]));
+    let discovery = Discovery::start(vec![host("a", &dial, "ready")]);
+    let mut given = configuration(&discovery.address, 1024);
+    // A connection that is tried again by the system, after 1 s, is still waited for.
+    given["settings"]["Bounds"]["ConnectTimeoutNs"] = 8_000_000_000_u64.into();
+    let daemon = Daemon::start(&given);
+    daemon.until_ready();
+    discovery.until_watched();
+    let mut client = daemon.client();
+    client.send(request("id", "charge", 20.0, "", "a body").as_bytes());
+    daemon.until_counter("connects", 1);
+    discovery.tell(vec![host("a", &dial, health), host("b", &worker.dial, "ready")]);
+    let local = queue.iter().map(|stream| stream.local_addr().unwrap()).collect::<Vec<_>>();
+    let mut came =
+        std::iter::repeat_with(|| listener.accept().unwrap()).find(|(_, from)| !local.contains(from));
+    let (stream, _) = came.as_mut().unwrap();
+    stream.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
+    assert_eq!(stream.read(&mut [0]).ok(), Some(0), "sent to a worker that is {health}");
+    assert_eq!((client.answer().unwrap().status, worker.count()), (200, 1));
+}
