A client's leave is seen behind whatever it sent ahead

Seen by reading, then by a test: for a client that had sent more than 80 KB ahead, or more than the memory was for, nothing was read any more until its answer. Its leave was not seen, and its txn was posted however much later. Lines at fault: Link::answer in drive's client, which only waited for the answer then. Change: reading goes on, what there is no room for is passed over, and after the answers to what was read whole the connection ends with a refusal. Who floods is read by 64 KB a ms at most. Every read of a client now gives others a turn. What it costs: one that sends 80 KB ahead and stays was served all of it before; the protocol's clients send one at a time. Tests: a held txn whose client sends 0, 0.3 or 8 MB more and goes, or more than a small memory is for: seen within 0.3 s, nothing is sent. One that stays gets its answers and is told to go.

--- a/crates/drive/src/client.rs
+++ b/crates/drive/src/client.rs
@@ -35,6 +35,11 @@
 const TOLD_WITHIN: Duration = Duration::from_millis(100);
 /// At the end of a stop, those whom the machine has accepted are taken or told so within this time.
 const LAST_WITHIN: Duration = Duration::from_millis(500);
+/// How much of what comes beyond the room for it is passed over in one go, and the pause after that. A client's last
+/// bytes, of which systems hold some MB, are through in a third of the time after which nothing may be sent on for one
+/// that has left; one that sends without end costs a hundredth of a core.
+const PASSED_AT_ONCE: usize = 64 * 1024;
+const PASSED_PAUSE: Duration = Duration::from_millis(1);
 /// Connections that the system takes in before they are accepted: more than a crowd opens while one turn is taken.
 const BACKLOG: i32 = 1024;
 /// Reads are as large as most requests with their head.
@@ -134,7 +139,7 @@
     let door = (now, now.saturating_sub(from.unwrap_or(now)));
     let serving = async move {
         let (intake, buffer) = (Intake::default(), vec![0; READ]);
-        let mut link = Link { shared, stream, intake, buffer, asked: false, away, door, slot };
+        let mut link = Link { shared, stream, intake, buffer, asked: false, away, over: false, door, slot };
         // What ends a connection is the client's doing, or was counted.
         let _ = link.serve().await;
     };
@@ -150,6 +155,8 @@
     asked: bool,
     /// Whether it is only told that there is no room.
     away: bool,
+    /// Whether more came ahead of its turn than there is room for: some of it is lost.
+    over: bool,
     /// When it was accepted, and how long it may have waited for that.
     door: (Nanos, Nanos),
     slot: Slot,
@@ -182,6 +189,7 @@
                     if !keeps {
                         return self.part().await;
                     }
+                    futures_lite::future::yield_now().await;
                 }
                 Heard::Bad(status, why) => {
                     self.shared.turned_down(status, why);
@@ -223,6 +231,9 @@
             if let Some(heard) = self.intake.next(&self.shared.names) {
                 return Ok(heard);
             }
+            if self.over {
+                return Ok(Heard::Bad(503, "more came ahead than there is room for"));
+            }
             if self.asked && !self.intake.idle() && waits.take().is_some() {
                 until = self.now() + nanos(REQUEST_WITHIN);
             }
@@ -238,7 +249,11 @@
             let read = within(&self.shared.ground, left, stream.read(buffer).or(closed)).await;
             match read {
                 Ok(0) => return Err(io::ErrorKind::UnexpectedEof.into()),
-                Ok(count) => self.intake.feed(&self.buffer[..count]),
+                Ok(count) => {
+                    self.intake.feed(&self.buffer[..count]);
+                    // Guards against one who sends faster than is read, and leaves no one else a turn.
+                    futures_lite::future::yield_now().await;
+                }
                 Err(error) => {
                     let late = error.kind() == io::ErrorKind::TimedOut;
                     if late && !self.intake.idle() {
@@ -302,19 +317,28 @@
         written.map(|()| keeps)
     }
 
-    /// Waits for the answer to a request of so many bytes, and meanwhile for the client to leave; none if it has.
+    /// Waits for the answer to a request of so many bytes, and meanwhile for the client to leave; none if it has. Whoever
+    /// ends only its sending side has left too: the protocol knows no such client, and tells it from none that closes.
+    /// What comes ahead of its turn is kept as far as there is room, and then passed over. Guards against a client that
+    /// sends much and goes: its leave stands behind bytes that no one would read, and its txn would still be posted.
     async fn answer(&mut self, answered: &Receiver<Answer>, bytes: usize) -> Option<Answer> {
+        let mut passed = 0;
         loop {
-            if !self.intake.has_room() || !self.slot.hold(bytes + self.intake.held()) {
-                return answered.recv().await.ok();
-            }
+            self.over |= !self.intake.has_room() || !self.slot.hold(bytes + self.intake.held());
             let (stream, buffer) = (&mut self.stream, &mut self.buffer);
             let answer = async { answered.recv().await.ok().map(Ok) };
             let read = async { Some(Err(stream.read(buffer).await.unwrap_or(0))) };
             match answer.or(read).await? {
                 Ok(answer) => return Some(answer),
                 Err(0) => return None,
-                Err(count) => self.intake.feed(&self.buffer[..count]),
+                Err(count) if !self.over => self.intake.feed(&self.buffer[..count]),
+                Err(count) => passed += count,
+            }
+            if passed >= PASSED_AT_ONCE {
+                passed = 0;
+                pause(&self.shared.ground, PASSED_PAUSE).await;
+            } else {
+                futures_lite::future::yield_now().await;
             }
         }
     }
--- a/crates/rosewalld/tests/ends.rs
+++ b/crates/rosewalld/tests/ends.rs
@@ -1,11 +1,14 @@
 //! Where something ends while something is still owed: the crossing is forced by the stand-ins. See `docs/ends.md`.
 use rosewall_rig::stand::{
-    Daemon, Discovery, Worker, configuration, host, request, script, vanished_machine,
+    Act, Daemon, Discovery, Worker, configuration, host, request, script, vanished_machine,
 };
-use std::io::Read;
+use std::io::{Read, Write};
 use std::time::{Duration, Instant};
 use test_case::test_case;
 
+/// The operators' bound: for a client that has left nothing is sent on so much later.
+const LEFT_WITHIN: Duration = Duration::from_millis(300);
+
 /// Workers, of which the first drains, once that has been heard, serve six txns.
 fn nothing_goes_to_the_first(daemon: &Daemon, workers: &[Worker]) {
     let mut client = daemon.client();
@@ -104,3 +107,53 @@
     assert_eq!(stream.read(&mut [0]).ok(), Some(0), "sent to a worker that is {health}");
     assert_eq!((client.answer().unwrap().status, worker.count()), (200, 1));
 }
+
+/// A txn that is held, as no worker is ready, whose client sends so much more and then goes: its leave stands behind bytes
+/// that no one waits for.
+#[test_case(192, 0; "nothing more")]
+#[test_case(192, 300_000; "more than is read ahead")]
+#[test_case(192, 8_000_000; "more than the system holds")]
+#[test_case(1, 75_000; "more than the memory is for")]
+fn nothing_is_sent_on_for_a_client_that_sent_much_and_left(memory_mb: u64, more: usize) {
+    let worker = Worker::start(&script(&[]));
+    let discovery = Discovery::start(vec![host("a", &worker.dial, "draining")]);
+    let mut given = configuration(&discovery.address, 1024);
+    given["limits"]["memory_mb"] = memory_mb.into();
+    let daemon = Daemon::start(&given);
+    daemon.until_ready();
+    discovery.until_watched();
+    let mut client = daemon.client();
+    client.send(request("held", "charge", 15.0, "", &"x".repeat(60_000)).as_bytes());
+    daemon.until_counter("requests", 1);
+    let next = request("ahead", "charge", 15.0, "", &"x".repeat(60_000));
+    let stream = client.reader.get_mut();
+    stream.set_write_timeout(Some(Duration::from_secs(3))).unwrap();
+    let _ = stream.write_all(next.repeat(more.div_ceil(next.len())).as_bytes());
+    drop(client);
+    let left = Instant::now();
+    while daemon.counter("clients_left") == 0 {
+        assert!(left.elapsed() < LEFT_WITHIN, "the leave is not seen");
+    }
+    discovery.tell(vec![host("a", &worker.dial, "ready")]);
+    assert_eq!(daemon.client().ask("next", "thumb", 5.0).status, 200);
+    assert_eq!((worker.count(), daemon.counter("broken_promises")), (1, 0));
+}
+
+/// Who sends more ahead than there is room for still gets each answer to what was read whole, and a refusal for the rest.
+#[test]
+fn one_that_sends_far_ahead_is_served_and_told_to_go() {
+    let worker = Worker::start(&script(&[Act::Later(300)]));
+    let discovery = Discovery::start(vec![host("a", &worker.dial, "ready")]);
+    let daemon = Daemon::start(&configuration(&discovery.address, 1024));
+    daemon.until_ready();
+    let mut client = daemon.client();
+    client.send(request("id0", "thumb", 5.0, "", "x").as_bytes());
+    daemon.until_counter("started", 1);
+    (1..6).for_each(|at| {
+        client.send(request(&format!("id{at}"), "thumb", 5.0, "", &"x".repeat(30_000)).as_bytes())
+    });
+    let statuses: Vec<u16> = std::iter::from_fn(|| client.answer()).map(|answer| answer.status).collect();
+    assert!(statuses.len() > 2 && statuses.len() < 6, "{statuses:?}");
+    let (last, served) = statuses.split_last().unwrap();
+    assert!(*last == 503 && served.iter().all(|status| *status == 200), "{statuses:?}");
+}
