Answers that come twice or never end harm no other txn

What it costs: up to 10 ms for a posting that follows another to the same worker at once. Tried first: such connections rest in the pool for 10 ms; five tests that rely on their use failed, as they should. Tests: one for each, which failed on the text before.

--- a/crates/drive/src/worker.rs
+++ b/crates/drive/src/worker.rs
@@ -1,5 +1,5 @@
 //! Reads and writes for the worker side: one task a posting, one a probe.
-use crate::ground::{Ground, Look, Stream, pause, within};
+use crate::ground::{Ground, Look, Stream, nanos, pause, within};
 use crate::shared::{Conn, News, Shared};
 use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
 use rosewall::sabotage::{Fault, is};
@@ -18,6 +18,10 @@
 const TAIL_WITHIN: Duration = Duration::from_millis(250);
 /// Two round trips inside one data centre, and the turns of both sides.
 const ANSWERED_WITHIN: Duration = Duration::from_millis(2);
+/// So long after an answer nothing is posted whole over its connection: a second answer to the same posting comes some
+/// milliseconds late if it comes. Guards against one that is taken for the next txn's: as what never ran, it would have
+/// that posted twice. It costs a posting as much that follows another to the same worker at once.
+const REST: Nanos = 10_000_000;
 const READ: usize = 8 * 1024;
 
 /// A descriptor for a new connection, once there is one.
@@ -69,6 +73,7 @@
     conn: &mut Conn<G::Stream>,
     message: &[u8],
     off: &Cell<bool>,
+    kept: Option<Nanos>,
 ) -> bool {
     let Some((last, most)) = message.split_last() else { return false };
     if conn.stream.write_all(most).await.is_err() {
@@ -76,11 +81,13 @@
     }
     let answered = async { conn.stream.readable().await.is_ok() };
     let silent = async {
-        pause(ground, ANSWERED_WITHIN).await;
+        let rest = kept.map_or(0, |since| (since + REST).saturating_sub(ground.now()));
+        pause(ground, ANSWERED_WITHIN.max(Duration::from_nanos(rest))).await;
         false
     };
-    // What is there to read is the connection's end, or an answer ahead of its time.
-    if answered.or(silent).await && conn.stream.look() != Look::Bytes {
+    // What is there to read is the connection's end, or an answer ahead of its time. On a kept one it is another's, as a
+    // worker begins with the last byte: guards against a second answer that comes late, and would be taken for this one's.
+    if answered.or(silent).await && (kept.is_some() || conn.stream.look() != Look::Bytes) {
         return false;
     }
     !off.get() && conn.stream.write_all(&[*last]).await.is_ok()
@@ -100,7 +107,7 @@
     // back seconds later, and is then sent over a new connection what the list has forbidden since.
     let ground = &shared.ground;
     if let Some((mut conn, since)) = ready {
-        let writing = async { Ok(written(ground, &mut conn, message, off).await) };
+        let writing = async { Ok(written(ground, &mut conn, message, off, Some(since)).await) };
         match within(ground, limit, writing).await {
             Ok(true) => return Ok((conn, Some(since))),
             Ok(false) => {}
@@ -110,11 +117,13 @@
             return Err(Outcome::Moot);
         }
         // It tells of its age, not of the worker: nothing was posted yet.
-        shared.broke(since);
+        if conn.stream.look() == Look::Ended {
+            shared.broke(since);
+        }
     }
     let mut conn = connection(shared, None, dial, limit).await?;
-    // Not a byte goes out for a client who has left while it came up.
-    let writing = async { Ok(!off.get() && written(ground, &mut conn, message, off).await) };
+    // Not a byte goes out for a client who has left, or to a worker that was told to drain, while it came up.
+    let writing = async { Ok(!off.get() && written(ground, &mut conn, message, off, None).await) };
     if within(ground, limit, writing).await.unwrap_or(false) {
         return Ok((conn, None));
     }
@@ -138,18 +147,18 @@
     drop(message);
     let mut reply = Reply::new(id);
     let mut buffer = vec![0; READ];
-    let (mut ended, mut heard) = (false, false);
+    let (mut ended, mut heard) = (None, false);
     loop {
         let read = async { conn.stream.read(&mut buffer).await.unwrap_or(0) };
         let late = async {
-            if ended {
-                pause(&shared.ground, TAIL_WITHIN).await
-            } else {
-                std::future::pending().await
+            match ended {
+                Some(at) => shared.ground.until(at).await,
+                None => std::future::pending().await,
             };
             0
         };
-        let count = read.or(late).await;
+        // Guards against an answer that goes on without an end.
+        let count = late.or(read).await;
         if count == 0 {
             if let Some(since) = kept.filter(|_| !heard) {
                 shared.broke(since);
@@ -163,12 +172,16 @@
         heard = true;
         reply.feed(&buffer[..count]);
         while let Some(told) = reply.told() {
-            ended |= told != Told::Started;
+            if told != Told::Started && ended.is_none() {
+                ended = Some(shared.ground.now() + nanos(TAIL_WITHIN));
+            }
             tell(told);
         }
         if reply.finished() {
             break;
         }
+        // Guards against a worker that sends faster than is read, and leaves no one else a turn.
+        futures_lite::future::yield_now().await;
     }
     if reply.reusable() {
         shared.tell(News::Spare { worker, conn });
--- a/crates/rosewalld/tests/ends.rs
+++ b/crates/rosewalld/tests/ends.rs
@@ -157,3 +157,48 @@
     let (last, served) = statuses.split_last().unwrap();
     assert!(*last == 503 && served.iter().all(|status| *status == 200), "{statuses:?}");
 }
+
+/// Guards against a worker whose answer never ends: the txn has its time, and everyone else their turn.
+#[test]
+fn an_answer_without_an_end_costs_its_txn_and_no_other() {
+    let worker = Worker::start(&script(&[Act::Endless]));
+    let discovery = Discovery::start(vec![host("a", &worker.dial, "ready")]);
+    let daemon = Daemon::start(&configuration(&discovery.address, 1024));
+    daemon.until_ready();
+    let (mut client, begun) = (daemon.client(), Instant::now());
+    client.send(request("endless", "charge", 2.0, "", "").as_bytes());
+    while worker.count() == 0 {
+        std::thread::yield_now();
+    }
+    assert_eq!(daemon.client().ask("beside", "thumb", 1.0).status, 200);
+    assert_eq!(client.answer().unwrap().status, 502);
+    assert!(begun.elapsed() < Duration::from_millis(2_050), "answered after {:?}", begun.elapsed());
+}
+
+/// Guards against connections that a worker keeps busy for ever after its last line.
+#[test]
+fn a_connection_on_which_more_comes_after_the_last_line_is_closed() {
+    let worker = Worker::start(&script(&[Act::DoneEndless]));
+    let discovery = Discovery::start(vec![host("a", &worker.dial, "ready")]);
+    let daemon = Daemon::start(&configuration(&discovery.address, 1024));
+    daemon.until_ready();
+    assert_eq!(daemon.client().ask("id", "charge", 5.0).status, 200);
+    let answered = Instant::now();
+    while worker.ended.load(std::sync::atomic::Ordering::SeqCst) == 0 {
+        assert!(answered.elapsed() < Duration::from_secs(2), "the connection is still open");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+/// Guards against an answer to an earlier posting that is taken for this one's: by it a once-only txn has not run, and is
+/// posted again.
+#[test]
+fn a_second_answer_is_not_taken_for_the_next_txns() {
+    let worker = Worker::start(&script(&[Act::DoneTwice; 8]));
+    let discovery = Discovery::start(vec![host("a", &worker.dial, "ready")]);
+    let daemon = Daemon::start(&configuration(&discovery.address, 1024));
+    daemon.until_ready();
+    let mut client = daemon.client();
+    let statuses = [0, 1, 2, 3].map(|at| client.ask(&format!("id{at}"), "charge", 5.0).status);
+    assert_eq!((statuses, worker.count()), ([200; 4], 4), "a txn ran more than once");
+}
--- a/crates/wire/src/worker.rs
+++ b/crates/wire/src/worker.rs
@@ -38,6 +38,9 @@
     result: Option<String>,
 }
 
+/// All that an answer may come to, with its lines on progress: sixteen times what its result may.
+const ANSWER_LIMIT: usize = 16 * BODY_LIMIT;
+
 enum Step {
     Wait,
     On,
@@ -54,16 +57,20 @@
     streams: bool,
     ended: bool,
     broken: bool,
+    /// How many bytes have come.
+    fed: usize,
 }
 
 impl Reply {
     pub fn new(id: String) -> Self {
         let (inlet, lines) = (Inlet::default(), Vec::new());
-        Reply { id, inlet, body: None, keeps: false, lines, streams: false, ended: false, broken: false }
+        let (body, keeps, streams, ended, broken, fed) = (None, false, false, false, false, 0);
+        Reply { id, inlet, body, keeps, lines, streams, ended, broken, fed }
     }
 
     pub fn feed(&mut self, bytes: &[u8]) {
         self.inlet.bytes.extend_from_slice(bytes);
+        self.fed += bytes.len();
     }
 
     /// Whether no more is to be read: the answer is complete, or cannot be read on.
@@ -109,6 +116,10 @@
 
     /// One step through the bytes; none where they cannot be read.
     fn step(&mut self) -> Option<Step> {
+        // Guards against an answer without an end.
+        if self.fed > ANSWER_LIMIT {
+            return None;
+        }
         let Some(body) = &mut self.body else { return self.head() };
         let done = body.advance(&mut self.inlet, &mut self.lines, BODY_LIMIT).ok()?;
         if !self.streams {
