Txns without a hint are taken to run as those like them did

Cause: a scheme's mean came from its hints alone, so that without any it stayed at the 100 ms with which it begins. Jobs of 500 to 960 ms then had their workers look five to ten times slow, by which the room of the short schemes fell to nothing and they were turned away; which scheme a worker ran last decided how slow it looked. Lines at fault: arrived() in policy.rs and Scheme::mean. Change: without hints the run is the mean of the last few dozen settled without one, by scheme; with hints nothing changes. Test: fails without the change (100 in place of 500 and 300).

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -521,7 +521,7 @@
             return;
         };
         let slots = f64::from(txn.slots).max(1.0);
-        let run = txn.hint.map_or_else(|| scheme.mean() / slots, |hint| hint as f64);
+        let run = scheme.run(txn.hint, slots);
         // A job waits until both its slots and its memory fit; a worker has a unit of memory a slot.
         let (work, need) = (run * slots, slots.max(f64::from(txn.memory)));
         scheme.add(work);
@@ -661,7 +661,7 @@
         let Some((key, posting)) = self.posting(txn, leg) else { return };
         self.txns[key].legs[usize::from(leg)].out = false;
         self.read_report(now, posting.worker, report);
-        let InHand { run, due, txn: Txn { scheme, .. }, .. } = self.txns[key];
+        let InHand { run, due, txn: Txn { scheme, hint, .. }, .. } = self.txns[key];
         let scheme = usize::from(scheme);
         let warm = self.warmth(&self.workers[posting.worker], now) >= 1.0;
         let mut slow = false;
@@ -677,6 +677,7 @@
         match outcome {
             Outcome::Settled => {
                 if let Some(from) = posting.started {
+                    self.schemes[scheme].learn(hint, (now - from) as f64);
                     // One job tells little of a worker's pace (its hint may be off): a tenth at a time, the
                     // first ones more. Guards against a slow worker to which each sends few jobs.
                     let pace = ((now - from) as f64 / run).clamp(0.2, 10.0);
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -883,3 +883,31 @@
     // A second's wait: half of its own room, two and a half times theirs.
     d.kept(0, key, SECOND, 0.5)
 }
+
+/// Guards against users who give no hints: a figure out of the air had each worker look slow by what it happened to run, and
+/// txns turned away for it.
+#[test_case(None, None => (500, 300); "none gives a hint")]
+#[test_case(Some(40), None => (40, 40); "those before gave one")]
+#[test_case(None, Some(40) => (40, 300); "it gives one itself")]
+fn one_without_a_hint_is_taken_to_run_as_those_like_it(
+    before: Option<Nanos>,
+    hint: Option<Nanos>,
+) -> (u64, u64) {
+    let mut d = dispatcher(4);
+    let mut run = |id: TxnId, scheme: u8, hint: Option<Nanos>, took: Nanos| {
+        let now = Nanos::from(id) * 2_000 * MS;
+        let txn = Txn { hint: hint.map(|hint| hint * MS), ..txn(id, scheme, 0, now) };
+        drop(handle(&mut d, now, Event::Arrived(txn)));
+        let run = d.txns[d.held[&id]].run / MS as f64;
+        drop(handle(&mut d, now, Event::Started { txn: id, leg: 0 }));
+        let report = Report::default();
+        let end = Ended { txn: id, leg: 0, outcome: Outcome::Settled, complete: true, report };
+        drop(handle(&mut d, now + took * MS, Event::Ended(end)));
+        run.round() as u64
+    };
+    for (at, took) in [(1, 400), (2, 600)] {
+        run(at, 0, before, took);
+        run(10 + at, 2, before, 300);
+    }
+    (run(20, 0, hint, 1), run(21, 2, None, 1))
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -327,6 +327,9 @@
     bins[..bin].iter().sum::<f64>() + bins.get(bin).map_or(0.0, |work| work * part)
 }
 
+/// Until one of a scheme has come, 100 ms, as most jobs that are waited for.
+const FIRST_RUN: f64 = 1e8;
+
 pub struct Scheme {
     pub effect: Effect,
     pub group: String,
@@ -338,6 +341,9 @@
     pub high: bool,
     pub bins: Bins,
     pub seen: f64,
+    /// Whether its txns come with hints, and else how long those settled ran: the mean, and of how many.
+    pub hinted: bool,
+    pub ran: (f64, f64),
     /// All ready workers that may take it, and those of them that this dispatcher keeps to, in id order.
     pub all: Vec<usize>,
     pub lanes: Vec<usize>,
@@ -364,6 +370,8 @@
             high: false,
             bins: [0.0; BINS],
             seen: 0.0,
+            hinted: false,
+            ran: (FIRST_RUN, 0.0),
             all: Vec::new(),
             lanes: Vec::new(),
             ends: Vec::new(),
@@ -380,9 +388,26 @@
         self.seen *= keep;
     }
 
-    /// The mean work of late, for a txn without a valid hint.
+    /// How long a txn is taken to run: as it hints, else as those like it did. Guards against users who give no hints, for
+    /// whom a figure out of the air has each worker look slow or fast by what it happened to run.
+    pub fn run(&mut self, hint: Option<Nanos>, slots: f64) -> f64 {
+        self.hinted |= hint.is_some();
+        let mean = if self.hinted { self.mean() / slots } else { self.ran.0 };
+        hint.map_or(mean, |hint| hint as f64)
+    }
+
+    /// One ran so long. The last few dozen without a hint tell: the mix moves in minutes.
+    pub fn learn(&mut self, hint: Option<Nanos>, run: f64) {
+        let (mean, count) = &mut self.ran;
+        if hint.is_none() {
+            *count = (*count + 1.0).min(50.0);
+            *mean += (run - *mean) / *count;
+        }
+    }
+
+    /// The mean work of late.
     pub fn mean(&self) -> f64 {
-        if self.seen > 0.0 { self.bins.iter().sum::<f64>() / self.seen } else { 1e8 }
+        if self.seen > 0.0 { self.bins.iter().sum::<f64>() / self.seen } else { FIRST_RUN }
     }
 }
 
