A referenced txn's Idempotency-Key goes on to the worker

Lines at fault: posting() in crates/wire, which carried the path, the id and the body alone. Change: the header is read with the request and goes on unchanged. It hurts nowhere: one without it is posted as before. Tests: on sockets, by what the worker got with each of its postings; fails without the change.

--- a/crates/node/src/hub.rs
+++ b/crates/node/src/hub.rs
@@ -497,8 +497,7 @@
         };
         counters.postings.add();
         log::debug!("at={now} txn={txn} leg={leg} posted host={host}");
-        let message =
-            worker::posting(&host, &held.request.target, &held.request.id, left, &held.request.body);
+        let message = worker::posting(&host, &held.request, left);
         let id = held.request.id.clone();
         // Half of what is left at most, so that another worker can still be tried after a vanished one.
         let connect_within = connect_within.min(left / 2);
--- a/crates/rosewalld/tests/daemon.rs
+++ b/crates/rosewalld/tests/daemon.rs
@@ -2,12 +2,13 @@
 mod mixed;
 
 use rosewall_rig::stand::{
-    Act, Client, Daemon, Discovery, Worker, configuration, counter_in, host, request, script,
-    vanished_machine,
+    Act, Client, Daemon, Discovery, Worker, configuration, counter_in, field, host, listen, message, request,
+    script, vanished_machine,
 };
-use std::io::Write;
+use std::io::{BufReader, Write};
 use std::process::Command;
 use std::sync::atomic::Ordering;
+use std::sync::{Arc, Mutex};
 use test_case::test_case;
 
 /// Two workers that follow one script, a list with both, and the program.
@@ -48,6 +49,28 @@
     assert_eq!(seen, [(first, "9b1f".to_string(), b"some {body}".to_vec())]);
 }
 
+/// Guards against workers that cannot tell a repeat: they know it by what its client sent.
+#[test_case("Idempotency-Key: 4366 cf\r\n", Some("4366 cf"); "one with a reference")]
+#[test_case("", None; "one without")]
+fn the_reference_goes_on_as_it_came_with_each_posting(header: &str, expected: Option<&str>) {
+    let heads: Arc<Mutex<Vec<String>>> = Arc::default();
+    let kept = heads.clone();
+    let dial = listen(move |mut stream| {
+        let (head, _) = message(&mut BufReader::new(stream))?;
+        kept.lock().unwrap().push(head);
+        stream.write_all(b"HTTP/1.1 500 Other\r\nContent-Length: 0\r\n\r\n").ok()
+    });
+    let discovery = Discovery::start(vec![host("a", &dial, "ready")]);
+    let daemon = Daemon::start(&configuration(&discovery.address, 1024));
+    daemon.until_ready();
+    let mut client = daemon.client();
+    client.send(request("id", "invoice", 5.0, header, "a body").as_bytes());
+    assert_eq!(client.answer().unwrap().status, 502);
+    let heads = heads.lock().unwrap();
+    assert!(heads.len() > 1, "it was not repeated");
+    assert!(heads.iter().all(|head| field(head, "idempotency-key").as_deref() == expected), "{heads:?}");
+}
+
 #[test]
 fn connections_are_kept_and_used_again_on_both_sides() {
     let stage = stage(&[]);
--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -16,6 +16,8 @@
 pub struct Request {
     pub target: String,
     pub id: String,
+    /// What a referenced one's repeats are known by; empty where it has none.
+    pub reference: String,
     pub scheme: u8,
     pub party: u16,
     pub within: Nanos,
@@ -206,6 +208,7 @@
     Ok(Request {
         target: target.to_string(),
         id: id.to_string(),
+        reference: http::one(headers, "idempotency-key")?.unwrap_or_default().to_string(),
         scheme: scheme.and_then(|at| u8::try_from(at).ok()).ok_or(unknown)?,
         party: party.and_then(|at| u16::try_from(at).ok()).ok_or(Fault::Malformed("an unknown Tenant"))?,
         within: (within.ok_or(Fault::Malformed("the Request-Timeout cannot be read"))? * 1e9) as Nanos,
--- a/crates/wire/src/tests.rs
+++ b/crates/wire/src/tests.rs
@@ -44,12 +44,13 @@
 }
 
 const HEAD: &str = "POST /api/x?y=%20 HTTP/1.1\r\nRequest-Id: 9b1f\r\nRequest-Class: charge\r\nTenant: zeta\r\n\
-    Request-Timeout: 0.480\r\nWork-Hint: 250\r\nRequest-Info: slots=2,memory=0.5\r\nCookie: k=7f\r\n";
+    Request-Timeout: 0.480\r\nWork-Hint: 250\r\nRequest-Info: slots=2,memory=0.5\r\nCookie: k=7f\r\nIdempotency-Key: 43 66\r\n";
 
 fn expected(body: &str) -> Heard {
     Heard::Request(Request {
         target: "/api/x?y=%20".into(),
         id: "9b1f".into(),
+        reference: "43 66".into(),
         scheme: 1,
         party: 1,
         within: 480_000_000,
@@ -123,7 +124,9 @@
 
 #[test]
 fn a_posting_carries_what_must_go_on() {
-    let text = String::from_utf8(posting("w", "/api?q", "9b1f", 1_250_000_000, b"body")).unwrap();
+    let (target, id, body) = ("/api?q".into(), "9b1f".into(), b"body".to_vec());
+    let request = Request { target, id, body, ..Request::default() };
+    let text = String::from_utf8(posting("w", &request, 1_250_000_000)).unwrap();
     assert_eq!(
         text,
         "POST /api?q HTTP/1.1\r\nHost: w\r\nRequest-Id: 9b1f\r\nRequest-Timeout: 1.250\r\nContent-Length: 4\r\n\r\nbody"
--- a/crates/wire/src/worker.rs
+++ b/crates/wire/src/worker.rs
@@ -1,4 +1,5 @@
 //! The worker side: postings out, what comes back in. One `Reply` a posting.
+use crate::client::Request;
 use crate::http::{self, BODY_LIMIT, Body, Inlet, Whole};
 use rosewall::types::{Nanos, Outcome, Report};
 use serde::Deserialize;
@@ -12,13 +13,17 @@
     Ended(Outcome),
 }
 
-/// A posting's bytes, in one piece.
-pub fn posting(host: &str, target: &str, id: &str, within: Nanos, body: &[u8]) -> Vec<u8> {
+/// A posting's bytes, in one piece. The reference goes on as it came. Guards against workers that cannot tell a repeat of
+/// a referenced txn from another one.
+pub fn posting(host: &str, request: &Request, within: Nanos) -> Vec<u8> {
+    let Request { target, id, reference, body, .. } = request;
     let seconds = within as f64 / 1e9;
     let length = body.len();
+    let known =
+        if reference.is_empty() { String::new() } else { format!("Idempotency-Key: {reference}\r\n") };
     let mut bytes = format!(
         "POST {target} HTTP/1.1\r\nHost: {host}\r\nRequest-Id: {id}\r\nRequest-Timeout: {seconds:.3}\r\n\
-         Content-Length: {length}\r\n\r\n"
+         {known}Content-Length: {length}\r\n\r\n"
     )
     .into_bytes();
     bytes.extend_from_slice(body);
