Settings that a stop and the lists rest on are not defaulted in silence

Seen by reading: a scheme without an expiry was taken to have the longest a stop may last, 3 s, so that with shorter ones the kill came before the last answers; a word for how lists come that is not known counted as lists that are pushed. Change: the start names what is missing or unknown. Idle and connect times of connections stay defaults: no rule rests on them.

--- a/crates/node/src/given.rs
+++ b/crates/node/src/given.rs
@@ -94,6 +94,15 @@
 /// Whether the dispatcher can start with this; an error names what is wrong and its value.
 pub fn check(given: &Given) -> Result<(), String> {
     Dispatcher::start(0, given.seed, &given.map)?;
+    // Guards against a stop that goes on past the kill, where expiries are shorter than those assumed in place of them.
+    for at in 0..pick::<usize>(&given.map, "scheme.count")? {
+        pick::<Nanos>(&given.map, &format!("scheme.{at}.expiry"))?;
+    }
+    // Guards against lists that never come, or calls that cost others, where a word is not known.
+    let mode: String = pick(&given.map, "list.mode")?;
+    if !["pushed", "asked"].contains(&mode.as_str()) {
+        return Err(format!("setting list.mode cannot be read: {mode:?}"));
+    }
     if let Some(talk) = &given.talk {
         let (me, all) = (pick::<usize>(&given.map, "me")?, pick::<usize>(&given.map, "dispatchers")?);
         if talk.peers.len() != all {
