World: a silent watch and a drain right after, as a planned world

A new trouble, list-forgets: open calls for the list are never answered, new ones are, and what those missed counts as told after the time.

--- a/crates/world/src/agent.rs
+++ b/crates/world/src/agent.rs
@@ -48,6 +48,8 @@
     silent: RefCell<[Nanos; 2]>,
     pub addresses: [SocketAddr; 2],
     waiting: RefCell<Vec<Sender<()>>>,
+    /// How often it has forgotten its open calls.
+    forgot: Cell<u32>,
 }
 
 impl Agent {
@@ -67,6 +69,7 @@
             silent: RefCell::default(),
             addresses,
             waiting: RefCell::default(),
+            forgot: Cell::new(0),
         });
         for (at, address) in addresses.into_iter().enumerate() {
             let machine = core.net.borrow_mut().machine(0);
@@ -105,6 +108,17 @@
         self.silent.borrow_mut()[address] = until;
     }
 
+    /// Never answers the calls that are open now.
+    pub fn forget(&self) {
+        self.forgot.set(self.forgot.get() + 1);
+        self.stir();
+    }
+
+    /// What it has counts as told, whether or not it was asked.
+    pub fn counts(&self) {
+        self.tell(&self.known.borrow().clone(), None, self.beside.get());
+    }
+
     /// Shows what it knew so long ago, for as long.
     pub fn go_back(self: &Rc<Self>, span: Nanos) {
         let (now, then) = (self.core.now(), self.core.now().saturating_sub(span));
@@ -195,7 +209,13 @@
             let since = number("index");
             let until = self.core.now() + number("wait").unwrap_or(0).min(60_000) * MS;
             // Only an agent that is not silent says anything.
+            let forgot = self.forgot.get();
             loop {
+                if self.forgot.get() != forgot {
+                    // The call stays open and is never answered.
+                    let _ = inbox.message(&mut stream, false).await;
+                    return;
+                }
                 let silent = self.silent.borrow()[address];
                 let (known, _) = self.shown();
                 let news = since != Some(known.seq);
--- a/crates/world/src/scenario.rs
+++ b/crates/world/src/scenario.rs
@@ -329,6 +329,8 @@
     Deaf,
     Mute,
     Split,
+    /// A dispatcher's open calls for the list are never answered, new ones are; what those missed counts after the time.
+    ListForgets,
     /// Half of a dispatcher's descriptors are taken away for a time, by a reload, but 64.
     Tighten,
 }
--- a/crates/world/src/world.rs
+++ b/crates/world/src/world.rs
@@ -380,6 +380,11 @@
         let (place, agent) = (fault.target, self.agents[fault.target].clone());
         match fault.kind {
             Trouble::ListSilent => (0..2).for_each(|address| agent.silence(address, spell.until)),
+            Trouble::ListForgets => {
+                agent.forget();
+                core.sleep(span).await;
+                agent.counts();
+            }
             Trouble::ListLate => agent.late.set((spell.until, span)),
             Trouble::ListBack => agent.go_back(span),
             Trouble::ListLacks => {
--- a/crates/world/tests/worlds.rs
+++ b/crates/world/tests/worlds.rs
@@ -41,6 +41,7 @@
 #[test_case(include_str!("../scenarios/two-wake-a-cold-worker.toml"), 100; "two that wake a cold worker")]
 #[test_case(include_str!("../scenarios/expiry-answer-leave.toml"), 1; "expiry, answer and leave in one instant")]
 #[test_case(include_str!("../scenarios/moved-watch.toml"), 5; "found: a moved watch heard no drain")]
+#[test_case(include_str!("../scenarios/silent-watch.toml"), 100; "a silent watch, and a drain right after")]
 #[test_case(include_str!("../scenarios/older-list.toml"), 5; "found: an older list put a drained worker back")]
 #[test_case(include_str!("../scenarios/full-door.toml"), 5; "found: clients aged at a full door")]
 #[test_case(include_str!("../scenarios/stop-meets-newcomer.toml"), 5; "found: a stop closed on a request under way")]
