--- a/crates/rig/src/stand.rs
+++ b/crates/rig/src/stand.rs
@@ -218,6 +218,8 @@
     /// How often it has forgotten all calls that were open, and whether it takes calls and answers none.
     fallen: u32,
     deaf: bool,
+    /// Whether the next answer ends in its middle, with its connection open.
+    cuts: bool,
 }
 
 #[derive(Clone)]
@@ -275,6 +277,12 @@
         let list = json!({"seq": board.seq, "whole": whole, "hosts": hosts}).to_string();
         let text = board.garbage.take().map_or(list, str::to_string);
         let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{text}", text.len());
+        if std::mem::take(&mut board.cuts) {
+            stream.write_all(&answer.as_bytes()[..answer.len() / 2]).ok()?;
+            drop(board);
+            let _ = stream.read(&mut [0]);
+            return None;
+        }
         stream.write_all(answer.as_bytes()).ok()
     }
 
@@ -318,6 +326,11 @@
         self.change(|board| board.fallen += 1);
     }
 
+    /// Sends the next answer by half.
+    pub fn cut_next(&self) {
+        self.change(|board| board.cuts = true);
+    }
+
     /// Takes calls and answers none.
     pub fn go_deaf(&self) {
         self.change(|board| board.deaf = true);
--- a/crates/rosewalld/tests/ends.rs
+++ b/crates/rosewalld/tests/ends.rs
@@ -86,6 +86,18 @@
     nothing_goes_to_the_first(&stage.daemon, &stage.workers);
 }
 
+/// Guards against a list that is waited for for as long as a call may wait, though half of it has come.
+#[test]
+fn a_list_that_ends_in_its_middle_is_asked_for_anew() {
+    let stage = Stage::new("pushed");
+    stage.discovery.cut_next();
+    stage.drain_the_first();
+    let begun = Instant::now();
+    stage.discovery.until_followed();
+    assert!(begun.elapsed() < Duration::from_secs(1), "heard after {:?}", begun.elapsed());
+    nothing_goes_to_the_first(&stage.daemon, &stage.workers);
+}
+
 /// Guards against a posting that waits for its connection, and goes out over it though its worker drains meanwhile.
 #[test_case("draining")]
 #[test_case("gone")]
