A silent watch on a list that is asked for is opened anew at once

Lines at fault: tend() in drive's discovery, which left the first new call to the decisions' pause, and 0.7 s past the wait. Change: 0.5 s past the wait, and the first call goes out at once, from the version known; if that fails too, the pauses are the decisions'. It hurts where a service that all follow is late with all of them: it gets their calls again together.

--- a/crates/drive/src/discovery.rs
+++ b/crates/drive/src/discovery.rs
@@ -40,12 +40,12 @@
     again: Duration::from_millis(200),
 };
 
-/// Where each call costs the service, it waits for as long as is allowed to be found out in time. A call for the whole list
+/// Where each call costs the service, it waits for as long as is allowed to be found out in time, and 1.5 s are left to the next one. A call for the whole list
 /// is given three times what services let calls wait in turn: guards against giving up, at the last moment, what a
 /// service that all ask at once has worked for. The pause after a failure is the decisions'.
 const ASKED: Spans = Spans {
     wait_ms: 20_000,
-    past: Duration::from_millis(700),
+    past: Duration::from_millis(500),
     whole: Duration::from_secs(6),
     again: Duration::MAX,
 };
@@ -122,7 +122,15 @@
             return;
         }
         let mut seen = false;
-        let Err(fault) = watch(shared, spans, address, &mut seen, &told, &mut from).await;
+        let Err(Broken { fault, silent }) = watch(shared, spans, address, &mut seen, &told, &mut from).await;
+        // A watch that told something and then fell silent is opened anew at once, from the version known: what it missed is
+        // soon held against this dispatcher. Only when that call fails too is the pause the decisions'. It hurts where a
+        // service that all follow is late with all of them.
+        if leave.is_some() && silent && seen {
+            log::warn!("discovery: {fault}; called again");
+            waits = false;
+            continue;
+        }
         failures = if seen || leave.is_some() { 0 } else { failures + 1 };
         // Where each call costs the service, the list goes on from the version that is known: one call in place of two,
         // and the changes in place of the whole. Guards against a service that is kept busy by those it failed.
@@ -140,6 +148,12 @@
     }
 }
 
+/// How a watch broke: why, and whether it had only fallen silent.
+struct Broken {
+    fault: String,
+    silent: bool,
+}
+
 /// One watch, from the whole list until it breaks.
 async fn watch<G: Ground>(
     shared: &Shared<G>,
@@ -148,7 +162,7 @@
     seen: &mut bool,
     told: &Sender<()>,
     from: &mut Option<u64>,
-) -> Result<Infallible, String> {
+) -> Result<Infallible, Broken> {
     let (ground, mut kept) = (&shared.ground, None);
     loop {
         let wait = from.map(|seq| (seq, spans.wait_ms));
@@ -159,12 +173,15 @@
             None if wait.is_none() => soonest(ground, spans.again, || call(None)).await,
             kept => call(kept).await,
         };
-        let (stream, text, keeps) = answer.map_err(|error| format!("no answer: {error}"))?;
+        let (stream, text, keeps) = answer.map_err(|error| Broken {
+            fault: format!("no answer: {error}"),
+            silent: error.kind() == io::ErrorKind::TimedOut,
+        })?;
         let listing = discovery::listing(&text, &shared.names).map_err(|fault| {
             // Passed over, and the whole list is fetched by a new watch.
             shared.counters.lists_malformed.add();
             *from = None;
-            format!("malformed list: {fault}")
+            Broken { fault: format!("malformed list: {fault}"), silent: false }
         })?;
         // A service that has lost its count is asked for the whole.
         let lost = from.is_some_and(|from| listing.seq < from) && !listing.whole;
