--- a/crates/drive/src/client.rs
+++ b/crates/drive/src/client.rs
@@ -318,7 +318,7 @@
     }
 
     /// Waits for the answer to a request of so many bytes, and meanwhile for the client to leave; none if it has. Whoever
-    /// ends only its sending side has left too: the protocol knows no such client, and tells it from none that closes.
+    /// ends only its sending side has left too: the protocol knows no such client, and it looks like one that closes.
     /// What comes ahead of its turn is kept as far as there is room, and then passed over. Guards against a client that
     /// sends much and goes: its leave stands behind bytes that no one would read, and its txn would still be posted.
     async fn answer(&mut self, answered: &Receiver<Answer>, bytes: usize) -> Option<Answer> {
--- a/crates/drive/src/discovery.rs
+++ b/crates/drive/src/discovery.rs
@@ -40,9 +40,9 @@
     again: Duration::from_millis(200),
 };
 
-/// Where each call costs the service, it waits for as long as is allowed to be found out in time, and 1.5 s are left to the next one. A call for the whole list
-/// is given three times what services let calls wait in turn: guards against giving up, at the last moment, what a
-/// service that all ask at once has worked for. The pause after a failure is the decisions'.
+/// Where each call costs the service, it waits for as long as is allowed to be found out in time, and 1.5 s are left to the
+/// next one. A call for the whole list is given three times what services let calls wait in turn: guards against giving
+/// up, at the last moment, what a service that all ask at once has worked for. The pause after a failure is the decisions'.
 const ASKED: Spans = Spans {
     wait_ms: 20_000,
     past: Duration::from_millis(500),
--- a/crates/node/src/hub.rs
+++ b/crates/node/src/hub.rs
@@ -140,6 +140,14 @@
     legs: Vec<Option<WorkerId>>,
 }
 
+impl Held {
+    /// Calls off the postings that are out to such workers.
+    fn call_off(&self, to: impl Fn(&WorkerId) -> bool, out: &mut Vec<Effect>) {
+        let legs = self.legs.iter().enumerate().filter(|(_, worker)| worker.as_ref().is_some_and(&to));
+        out.extend(legs.map(|(leg, _)| Effect::CallOff { txn: self.txn, leg: leg as u8 }));
+    }
+}
+
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Due {
     Decisions(u64),
@@ -229,8 +237,7 @@
                     && std::mem::take(&mut held.owed)
                 {
                     // Guards against work that is begun for someone who has left while a connection was coming up.
-                    let legs = held.legs.iter().enumerate().filter(|(_, worker)| worker.is_some());
-                    out.extend(legs.map(|(leg, _)| Effect::CallOff { txn, leg: leg as u8 }));
+                    held.call_off(|_| true, out);
                     self.counters.clients_left.add();
                     self.decide(now, Event::Lapsed { txn }, out);
                     self.settle_up(txn);
@@ -266,11 +273,7 @@
         // drain: it has not run, and is placed anew. One whose last bytes are on their way loses 2 ms of its time.
         let mut closed: FxHashSet<WorkerId> = void.iter().copied().collect();
         closed.extend(entries.iter().filter(|e| e.standing != Standing::Ready).map(|e| e.worker));
-        for (_, held) in self.txns.iter().filter(|_| !closed.is_empty()) {
-            let legs = held.legs.iter().enumerate();
-            let legs = legs.filter(|(_, worker)| worker.is_some_and(|worker| closed.contains(&worker)));
-            out.extend(legs.map(|(leg, _)| Effect::CallOff { txn: held.txn, leg: leg as u8 }));
-        }
+        self.txns.iter().for_each(|(_, held)| held.call_off(|worker| closed.contains(worker), out));
         // Connections to a process that is no more are not used again.
         out.extend(void.into_iter().map(|worker| Effect::Void { worker, dial: None }));
         self.counters.hosts_clashing.more(clashing);
--- a/crates/rosewalld/tests/ends.rs
+++ b/crates/rosewalld/tests/ends.rs
@@ -18,6 +18,15 @@
     assert_eq!((workers[0].count(), workers[1].count()), (0, 6));
 }
 
+/// A worker that follows a script, alone in the list, and the program.
+fn one_worker(acts: &[Act]) -> (Worker, Daemon) {
+    let worker = Worker::start(&script(acts));
+    let discovery = Discovery::start(vec![host("a", &worker.dial, "ready")]);
+    let daemon = Daemon::start(&configuration(&discovery.address, 1024));
+    daemon.until_ready();
+    (worker, daemon)
+}
+
 struct Stage {
     workers: [Worker; 2],
     discovery: Discovery,
@@ -26,12 +35,9 @@
 
 impl Stage {
     fn new(mode: &str) -> Stage {
-        let script = script(&[]);
-        let workers = [Worker::start(&script), Worker::start(&script)];
-        let discovery = Discovery::start(vec![
-            host("a", &workers[0].dial, "ready"),
-            host("b", &workers[1].dial, "ready"),
-        ]);
+        let workers = [(); 2].map(|()| Worker::start(&script(&[])));
+        let hosts = ["a", "b"].iter().zip(&workers).map(|(name, worker)| host(name, &worker.dial, "ready"));
+        let discovery = Discovery::start(hosts.collect());
         let mut given = configuration(&discovery.address, 1024);
         given["settings"]["RegistryMode"] = mode.into();
         let daemon = Daemon::start(&given);
@@ -40,10 +46,10 @@
         Stage { workers, discovery, daemon }
     }
 
-    fn drain_the_first(&self) {
+    fn drain_the_first(&self, discovery: &Discovery) {
         let [a, b] = &self.workers;
         let hosts = vec![host("a", &a.dial, "draining"), host("b", &b.dial, "ready")];
-        self.discovery.put(hosts.clone(), hosts);
+        discovery.put(hosts.clone(), hosts);
     }
 }
 
@@ -55,7 +61,7 @@
     let stage = Stage::new(mode);
     stage.discovery.fall_silent();
     let begun = Instant::now();
-    stage.drain_the_first();
+    stage.drain_the_first(&stage.discovery);
     stage.discovery.until_followed();
     assert!(begun.elapsed() < Duration::from_secs(seconds), "heard after {:?}", begun.elapsed());
     nothing_goes_to_the_first(&stage.daemon, &stage.workers);
@@ -76,9 +82,7 @@
     }
     discovery.fall_silent();
     discovery.until_called(calls + 6);
-    let [a, b] = &stage.workers;
-    let hosts = vec![host("a", &a.dial, "draining"), host("b", &b.dial, "ready")];
-    discovery.put(hosts.clone(), hosts);
+    stage.drain_the_first(discovery);
     discovery.come_to();
     let begun = Instant::now();
     discovery.until_followed();
@@ -91,7 +95,7 @@
 fn a_list_that_ends_in_its_middle_is_asked_for_anew() {
     let stage = Stage::new("pushed");
     stage.discovery.cut_next();
-    stage.drain_the_first();
+    stage.drain_the_first(&stage.discovery);
     let begun = Instant::now();
     stage.discovery.until_followed();
     assert!(begun.elapsed() < Duration::from_secs(1), "heard after {:?}", begun.elapsed());
@@ -158,10 +162,7 @@
 /// Who sends more ahead than there is room for still gets each answer to what was read whole, and a refusal for the rest.
 #[test]
 fn one_that_sends_far_ahead_is_served_and_told_to_go() {
-    let worker = Worker::start(&script(&[Act::Later(300)]));
-    let discovery = Discovery::start(vec![host("a", &worker.dial, "ready")]);
-    let daemon = Daemon::start(&configuration(&discovery.address, 1024));
-    daemon.until_ready();
+    let (_worker, daemon) = one_worker(&[Act::Later(300)]);
     let mut client = daemon.client();
     client.send(request("id0", "thumb", 5.0, "", "x").as_bytes());
     daemon.until_counter("started", 1);
@@ -177,10 +178,7 @@
 /// Guards against a worker whose answer never ends: the txn has its time, and everyone else their turn.
 #[test]
 fn an_answer_without_an_end_costs_its_txn_and_no_other() {
-    let worker = Worker::start(&script(&[Act::Endless]));
-    let discovery = Discovery::start(vec![host("a", &worker.dial, "ready")]);
-    let daemon = Daemon::start(&configuration(&discovery.address, 1024));
-    daemon.until_ready();
+    let (worker, daemon) = one_worker(&[Act::Endless]);
     let (mut client, begun) = (daemon.client(), Instant::now());
     client.send(request("endless", "charge", 2.0, "", "").as_bytes());
     while worker.count() == 0 {
@@ -194,10 +192,7 @@
 /// Guards against connections that a worker keeps busy for ever after its last line.
 #[test]
 fn a_connection_on_which_more_comes_after_the_last_line_is_closed() {
-    let worker = Worker::start(&script(&[Act::DoneEndless]));
-    let discovery = Discovery::start(vec![host("a", &worker.dial, "ready")]);
-    let daemon = Daemon::start(&configuration(&discovery.address, 1024));
-    daemon.until_ready();
+    let (worker, daemon) = one_worker(&[Act::DoneEndless]);
     assert_eq!(daemon.client().ask("id", "charge", 5.0).status, 200);
     let answered = Instant::now();
     while worker.ended.load(std::sync::atomic::Ordering::SeqCst) == 0 {
@@ -210,10 +205,7 @@
 /// posted again.
 #[test]
 fn a_second_answer_is_not_taken_for_the_next_txns() {
-    let worker = Worker::start(&script(&[Act::DoneTwice; 8]));
-    let discovery = Discovery::start(vec![host("a", &worker.dial, "ready")]);
-    let daemon = Daemon::start(&configuration(&discovery.address, 1024));
-    daemon.until_ready();
+    let (worker, daemon) = one_worker(&[Act::DoneTwice; 8]);
     let mut client = daemon.client();
     let statuses = [0, 1, 2, 3].map(|at| client.ask(&format!("id{at}"), "charge", 5.0).status);
     assert_eq!((statuses, worker.count()), ([200; 4], 4), "a txn ran more than once");
