A kind of workers has the seats that its jobs were surely in at once

Cause: seats were read off as a start was told, from all starts told without an end. Change: seats are counted as a txn settles: it and those that have run there for a quarter of their time at least, and twice it at most. The old test asked for seats as a start is told, which is the fault; its two cases stay, asked at an end, with two more. Also: what was sent before a start was told counts against its budget when answered since, or sent to a cold process that was itself replaced (spent was made anew from txns in hand alone).

--- a/crates/world/src/explore.rs
+++ b/crates/world/src/explore.rs
@@ -17,6 +17,8 @@
     pub postings: u64,
     pub settled: u64,
     pub virtual_s: f64,
+    /// Cold processes that fell by the operators' measure.
+    pub fell_by_root: u64,
     /// Worlds with a violation.
     pub violations: u64,
     /// The same whatever the order in which the worlds were played.
@@ -38,6 +40,7 @@
         self.postings += report.tally.postings;
         self.settled += report.tally.settled;
         self.virtual_s += report.virtual_s;
+        self.fell_by_root += report.tally.fell_by_root;
         self.violations += u64::from(!report.violations.is_empty());
         // Added up, so that the order does not matter; mixed with the seed, so that two cannot change places.
         let mixed = (report.digest ^ report.seed.wrapping_mul(0x9e37_79b9_7f4a_7c15)).rotate_left(17);
@@ -65,17 +68,37 @@
     seeds: std::ops::Range<u64>,
     jobs: usize,
     given: Option<&Scenario>,
+    seen: impl FnMut(&Report),
+) -> Sum {
+    explore_by(seeds, jobs, |seed| scenario(seed, given), seen)
+}
+
+/// The scenario of a seed with so many dispatchers, to whom the same load comes: what cold workers get from large fleets.
+pub fn among(seed: u64, given: Option<&Scenario>, dispatchers: Option<usize>) -> Scenario {
+    let whole = scenario(seed, given);
+    // No fault is lost: those drawn are fewer.
+    Scenario {
+        dispatchers: dispatchers.map_or(whole.dispatchers, |count| count.max(whole.dispatchers)),
+        ..whole
+    }
+}
+
+/// The same, where each seed's scenario is made by the caller.
+pub fn explore_by(
+    seeds: std::ops::Range<u64>,
+    jobs: usize,
+    make: impl Fn(u64) -> Scenario + Sync,
     mut seen: impl FnMut(&Report),
 ) -> Sum {
     let (next, mut sum) = (AtomicU64::new(seeds.start), Sum::default());
     let (tell, told) = mpsc::channel();
     std::thread::scope(|scope| {
         for _ in 0..jobs.max(1) {
-            let (tell, next, seeds) = (tell.clone(), &next, &seeds);
+            let (tell, next, seeds, make) = (tell.clone(), &next, &seeds, &make);
             scope.spawn(move || {
                 loop {
                     let seed = next.fetch_add(1, Ordering::Relaxed);
-                    if !seeds.contains(&seed) || tell.send(play(&scenario(seed, given), false)).is_err() {
+                    if !seeds.contains(&seed) || tell.send(play(&make(seed), false)).is_err() {
                         return;
                     }
                 }
--- a/crates/world/src/judge.rs
+++ b/crates/world/src/judge.rs
@@ -105,6 +105,8 @@
     sum: f64,
     all: VecDeque<(Nanos, f64)>,
     all_sum: f64,
+    /// Whether it was counted as fallen by the root of N.
+    fell: bool,
 }
 
 struct SchemeFacts {
@@ -123,6 +125,9 @@
     pub excused: u64,
     pub postings: u64,
     pub in_time: u64,
+    /// Cold processes that got more than N + 2 x root of N + 2 calls of mean work in a window, of which over two thirds came
+    /// from those told of the start; N is what the rules let them take (the operators' measure, beside the judge's own).
+    pub fell_by_root: u64,
 }
 
 pub struct Judge {
@@ -133,12 +138,14 @@
     told: FxHashMap<(usize, usize), Told>,
     killed: FxHashSet<usize>,
     cold: Vec<Cold>,
+    /// The mean work of a txn, over all loads.
+    mean_work: f64,
     pub violations: Vec<Violation>,
     pub tally: Tally,
 }
 
 impl Judge {
-    pub fn new(start: Nanos, rules: Rules, schemes: &[crate::scenario::Scheme]) -> Self {
+    pub fn new(start: Nanos, rules: Rules, schemes: &[crate::scenario::Scheme], mean_work: f64) -> Self {
         let facts = |scheme: &crate::scenario::Scheme| SchemeFacts {
             effect: scheme.effect,
             group: scheme.group,
@@ -152,6 +159,7 @@
             told: FxHashMap::default(),
             killed: FxHashSet::default(),
             cold: Vec::new(),
+            mean_work,
             violations: Vec::new(),
             tally: Tally::default(),
         }
@@ -443,7 +451,7 @@
     /// A cold process begins; its capacity is in work a unit of time once it is warm.
     pub fn born(&mut self, host: usize, born: Nanos, capacity: f64) {
         let (work, all) = Default::default();
-        self.cold.push(Cold { host, born, capacity, work, sum: 0.0, all, all_sum: 0.0 });
+        self.cold.push(Cold { host, born, capacity, work, sum: 0.0, all, all_sum: 0.0, fell: false });
     }
 
     /// The part of its capacity that a process has.
@@ -466,7 +474,8 @@
         let Some(cold) = self.cold.iter_mut().find(|cold| cold.host == host && cold.born == born) else {
             return false;
         };
-        let limit = multiple * cold.capacity * warmth * window as f64 * CHANCE;
+        let most = multiple * cold.capacity * warmth * window as f64;
+        let limit = most * CHANCE;
         for (counts, list, sum) in
             [(informed, &mut cold.work, &mut cold.sum), (true, &mut cold.all, &mut cold.all_sum)]
         {
@@ -479,6 +488,11 @@
             }
         }
         let (sum, all) = (cold.sum, cold.all_sum);
+        let calls = most / self.mean_work.max(1.0);
+        let by_root = (calls + 2.0 * calls.sqrt() + 2.0) * self.mean_work;
+        if informed && all > by_root && sum * 3.0 >= all * 2.0 && !std::mem::replace(&mut cold.fell, true) {
+            self.tally.fell_by_root += 1;
+        }
         // What came from those who did not know of its start is no one's fault, up to a third.
         if informed && all > limit && sum * 3.0 >= all * 2.0 {
             let part = sum / limit * 100.0;
--- a/crates/world/src/main.rs
+++ b/crates/world/src/main.rs
@@ -1,7 +1,7 @@
 //! The command: worlds by the thousand, one played again, one cut down, faults planted.
 use clap::{Args, Parser, Subcommand};
 use indicatif::{ProgressBar, ProgressDrawTarget, ProgressStyle};
-use rosewall_world::explore::{explore, scenario, shrink};
+use rosewall_world::explore::{among, explore_by, scenario, shrink};
 use rosewall_world::scenario::{self as file, Scenario};
 use rosewall_world::world::{Report, play};
 use std::io::{IsTerminal, Write};
@@ -31,6 +31,9 @@
     /// A scenario file in place of one drawn from the seed
     #[arg(long, value_name = "FILE")]
     scenario: Option<PathBuf>,
+    /// So many dispatchers at least, to whom the same load comes
+    #[arg(long, value_name = "COUNT", value_parser = clap::value_parser!(u16).range(1..=256))]
+    dispatchers: Option<u16>,
 }
 
 #[derive(Subcommand)]
@@ -49,6 +52,9 @@
         /// Play this scenario under each seed
         #[arg(long, value_name = "FILE")]
         scenario: Option<PathBuf>,
+        /// So many dispatchers at least, to whom the same load comes
+        #[arg(long, value_name = "COUNT", value_parser = clap::value_parser!(u16).range(1..=256))]
+        dispatchers: Option<u16>,
     },
     /// Play one world again; exit code 1 where a rule was broken
     Replay {
@@ -103,8 +109,8 @@
 fn chosen(which: &Which) -> Result<Scenario, String> {
     let given = which.scenario.as_ref().map(load).transpose()?;
     match (which.seed, &given) {
-        (Some(seed), given) => Ok(scenario(seed, given.as_ref())),
-        (None, Some(given)) => Ok(given.clone()),
+        (Some(seed), given) => Ok(among(seed, given.as_ref(), which.dispatchers.map(usize::from))),
+        (None, Some(given)) => Ok(among(given.seed, Some(given), which.dispatchers.map(usize::from))),
         (None, None) => Err("name a --seed or a --scenario".to_string()),
     }
 }
@@ -139,14 +145,17 @@
 
 fn run(cli: &Cli) -> Result<bool, String> {
     match &cli.command {
-        Command::Explore { seeds, first, jobs, scenario } => {
+        Command::Explore { seeds, first, jobs, scenario, dispatchers } => {
             let given = scenario.as_ref().map(load).transpose()?;
             let (bar, start) = (bar(*seeds), Instant::now());
-            let sum = explore(*first..first.saturating_add(*seeds), cores(*jobs), given.as_ref(), |report| {
+            let all = *first..first.saturating_add(*seeds);
+            let make = |seed| among(seed, given.as_ref(), dispatchers.map(usize::from));
+            let sum = explore_by(all, cores(*jobs), make, |report| {
                 bar.inc(1);
                 if !report.violations.is_empty() && !cli.json {
                     let from = scenario.as_ref().map(|path| format!(" --scenario {}", path.display()));
-                    let (seed, from) = (report.seed, from.unwrap_or_default());
+                    let among = dispatchers.map(|count| format!(" --dispatchers {count}"));
+                    let (seed, from) = (report.seed, from.unwrap_or_default() + &among.unwrap_or_default());
                     bar.suspend(|| {
                         print(&format!("seed {seed}: rosewall-world replay --seed {seed}{from} --trace"));
                         show(report);
@@ -158,13 +167,14 @@
                 print(&json(&sum)?);
             } else {
                 print(&format!(
-                    "{} worlds, {} steps, {} txns, {} postings, {:.0} virtual s, {} with violations, digest {:016x}, {:.1} s",
+                    "{} worlds, {} steps, {} txns, {} postings, {:.0} virtual s, {} with violations, {} fell by root, digest {:016x}, {:.1} s",
                     sum.worlds,
                     sum.steps,
                     sum.txns,
                     sum.postings,
                     sum.virtual_s,
                     sum.violations,
+                    sum.fell_by_root,
                     sum.digest,
                     start.elapsed().as_secs_f64()
                 ));
--- a/crates/world/src/scenario.rs
+++ b/crates/world/src/scenario.rs
@@ -44,6 +44,18 @@
     1
 }
 
+impl Scenario {
+    /// The mean work of a txn over all loads, in ns of one seat; 0 where there is no load.
+    pub fn mean_work(&self) -> f64 {
+        let mean = |[low, high]: [f64; 2]| if high > low { (high - low) / (high / low).ln() } else { low };
+        let (sum, rate) = self
+            .load
+            .iter()
+            .fold((0.0, 0.0), |(sum, rate), load| (sum + load.rate * mean(load.work_ms), rate + load.rate));
+        if rate > 0.0 { 1e6 * sum / rate } else { 0.0 }
+    }
+}
+
 /// What each dispatcher may hold.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
--- a/crates/world/src/world.rs
+++ b/crates/world/src/world.rs
@@ -473,7 +473,7 @@
         let [low, high] = scenario.net.latency_us;
         let ways =
             Ways { latency: (low * 1000, high * 1000), split: scenario.net.split, harsh: scenario.net.harsh };
-        let judge = Judge::new(START, scenario.rules.clone(), &scenario.scheme);
+        let judge = Judge::new(START, scenario.rules.clone(), &scenario.scheme, scenario.mean_work());
         let core = Core::new(START, scenario.seed, Net::new(ways), judge, &home, trace);
         if let Some(members) = &scenario.members {
             let late = members.jitter_ms * MS;
--- a/crates/world/tests/worlds.rs
+++ b/crates/world/tests/worlds.rs
@@ -1,6 +1,6 @@
 //! Worlds played as they are in the command: drawn ones by the hundred, and those in which troubles meet by plan.
-use rosewall_world::explore::{explore, scenario};
-use rosewall_world::judge::Tally;
+use rosewall_world::explore::{among, explore, explore_by, scenario};
+use rosewall_world::judge::{Rule, Tally};
 use rosewall_world::scenario::{read, write};
 use rosewall_world::world::play;
 use test_case::test_case;
@@ -51,11 +51,31 @@
     tallies.iter().for_each(|tally| assert!(tally.settled >= least, "{tally:?}"));
 }
 
-/// Found among ten thousand: two births of one worker in 0.2 s, lists that tell of them late, and txns without hints beside
-/// others. See `KNOWN-RED.txt`.
+/// Found among 30,000: kinds of workers that were taken to have more seats than any has, and so a cold worker that got twice
+/// what was meant. The names say what the seats were counted by.
+#[test_case(9_890; "starts of jobs that never ended")]
+#[test_case(1_005_010; "starts told sooner than the ends before them")]
+#[test_case(1_015_281; "likewise, and workers of unlike seats")]
+fn seats_that_are_not_there_push_no_cold_worker_over(seed: u64) {
+    assert_eq!(play(&scenario(seed, None), false).violations, Vec::new());
+}
+
+/// Found among 20,000: of eight workers of one kind and one listed size the cold one can do 1.6 seats' work, most others 2.8 to
+/// 4. See `KNOWN-RED.txt`.
 #[test]
-fn a_worker_that_is_born_twice_is_not_pushed_over() {
-    assert_eq!(play(&scenario(9_890, None), false).violations, Vec::new());
+fn a_worker_smaller_than_its_kind_is_not_pushed_over() {
+    assert_eq!(play(&scenario(1_006_095, None), false).violations, Vec::new());
+}
+
+/// What the operators count: beyond the N calls that a cold worker may get, 2 x root of N + 2 are chance, also where thirty
+/// dispatchers send to it, each within its own part.
+#[test_case(20)]
+#[test_case(30)]
+fn cold_workers_stand_many_dispatchers(dispatchers: usize) {
+    let jobs = std::thread::available_parallelism().map_or(1, |cores| cores.get());
+    let sum = explore_by(0..150, jobs, |seed| among(seed, None, Some(dispatchers)), |_| ());
+    assert_eq!((sum.worlds, sum.fell_by_root, sum.broken.get(&Rule::Cold)), (150, 0, None));
+    assert!(sum.settled > sum.txns / 2, "{sum:?}");
 }
 
 /// What a planned world comes to under each seed; no rule is broken.
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -310,7 +310,7 @@
                 (worker.trust, worker.silent, worker.lag) = Default::default();
                 worker.of.fill(Trust::default());
                 // What went to it before its start was told of counts too.
-                worker.spent = self.txns.iter().flat_map(|(_, hand)| hand.sent(at, entry.started)).collect();
+                worker.spent.retain(|(at, _)| *at >= entry.started);
                 (worker.refusals, worker.refused_till) = (0, 0);
                 worker.started = entry.started;
             }
@@ -590,10 +590,8 @@
         let hand = &mut self.txns[key];
         let worker = &mut self.workers[at];
         worker.spent.retain(|(at, _)| *at >= from);
-        if cold {
-            let own = worker.spend(now, hand.most);
-            worker.spent.push_back((now, own));
-        }
+        let own = if cold { worker.spend(now, hand.most) } else { hand.most };
+        worker.spent.push_back((now, own));
         let expected = worker.queue(hand.need, worker.told(now));
         hand.legs[hand.posted] = Posting { worker: at, at: now, expected, started: None, out: true };
         let token = token(hand.txn.id, hand.posted);
@@ -629,8 +627,6 @@
         let late = hand.room(now, worker.pace) < 0.0 && hand.room(posting.at, worker.pace) > 0.0;
         self.late += 0.05 * self.rare * (f64::from(late) - self.late);
         let run = 2.0 * hand.run * worker.pace + 0.5 * SECOND;
-        let (kind, running) = (worker.kind, worker.running);
-        self.seats(kind, running);
         acts.push(Action::Timer { at: now + run as Nanos, token: token(txn, usize::from(leg)) });
     }
 
@@ -659,6 +655,9 @@
     fn ended(&mut self, now: Nanos, end: Ended, acts: &mut Vec<Action>) {
         let Ended { txn, leg, outcome, complete, report } = end;
         let Some((key, posting)) = self.posting(txn, leg) else { return };
+        if outcome == Outcome::Settled {
+            self.learn_seats(now, key, posting.worker);
+        }
         self.txns[key].legs[usize::from(leg)].out = false;
         self.read_report(now, posting.worker, report);
         let InHand { run, due, txn: Txn { scheme, hint, .. }, .. } = self.txns[key];
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -419,15 +419,21 @@
     assert_eq!(d.workers[0].seats, 2.0);
 }
 
-/// Guards against a cold worker pushed over: jobs lost with its old process were taken for more seats.
-#[test_case(0 => 3.0; "all of one process")]
-#[test_case(5 => 2.0; "those of an earlier one are lost")]
-fn seats_by_jobs_that_still_run(restarted: Nanos) -> f64 {
+/// Guards against a cold worker pushed over, as its kind was taken for one of more seats: by jobs lost with its old process, by
+/// a start told sooner than the end before it, by jobs that were told as started and never ended (found: drawn worlds 9890,
+/// 1005010, 1006095 and 1015281). `third` is when the last of three jobs of 100 ms starts, the others start at 1 ms; the
+/// first settles at `settled`.
+#[test_case(0, 9, 60 => 3.0; "all of one process, for a while")]
+#[test_case(5, 9, 60 => 2.0; "those of an earlier one are lost")]
+#[test_case(0, 55, 60 => 2.0; "the last starts as the first ends")]
+#[test_case(0, 9, 240 => 2.0; "the others were to end long ago")]
+fn seats_by_jobs_that_surely_ran_together(restarted: Nanos, third: Nanos, settled: Nanos) -> f64 {
     let mut d = dispatcher(1);
     (0..3).for_each(|n| drop(handle(&mut d, 0, Event::Arrived(txn(n, 0, 100 * MS, 0)))));
     (0..2).for_each(|txn| drop(handle(&mut d, MS, Event::Started { txn, leg: 0 })));
     d.workers[0].started = restarted * MS;
-    handle(&mut d, 9 * MS, Event::Started { txn: 2, leg: 0 });
+    handle(&mut d, third * MS, Event::Started { txn: 2, leg: 0 });
+    handle(&mut d, settled * MS, ended(0, 0, Outcome::Settled));
     d.workers[0].seats
 }
 
@@ -840,17 +846,31 @@
     assert!((1.1..1.4).contains(&d.workers[0].pace) && d.paces.is_empty(), "{}", d.workers[0].pace);
 }
 
-/// Guards against a fresh budget on top of what went to a new process before its start was told.
-#[test_case(500 => 1; "posted after the start")]
-#[test_case(50 => 0; "to the process before")]
-fn a_cold_workers_budget_holds_what_went_there_unknowing(posted: Nanos) -> usize {
+/// Guards against a fresh budget on top of what went to a new process before its start was told, answered by then or not.
+#[test_case(500, None => 1; "posted after the start")]
+#[test_case(500, Some(600) => 1; "and settled since")]
+#[test_case(50, None => 0; "to the process before")]
+#[test_case(50, Some(60) => 0; "to the process before, and settled since")]
+fn a_cold_workers_budget_holds_what_went_there_unknowing(posted: Nanos, settled: Option<Nanos>) -> usize {
     let mut d = dispatcher(1);
     handle(&mut d, posted * MS, Event::Arrived(txn(1, 2, 100 * MS, posted * MS)));
+    settled.into_iter().for_each(|at| drop(handle(&mut d, at * MS, ended(1, 0, Outcome::Settled))));
     let entries = vec![entry(0, Standing::Ready, 100 * MS)];
     handle(&mut d, 900 * MS, Event::List { scope: Scope::Changes, entries });
     d.workers[0].spent.iter().filter(|(at, work)| *at == posted * MS && *work == 1e8).count()
 }
 
+/// Guards against a fresh budget at a second birth: what was sent while the first was known may have gone to the second.
+#[test]
+fn a_cold_worker_that_is_born_again_keeps_what_it_got_since() {
+    let mut d = dispatcher(1);
+    d.workers[0].started = 90 * MS;
+    d.workers[0].spent = [(95 * MS, 1e8), (500 * MS, 2e8)].into();
+    let entries = vec![entry(0, Standing::Ready, 100 * MS)];
+    handle(&mut d, 900 * MS, Event::List { scope: Scope::Changes, entries });
+    assert_eq!(d.workers[0].spent, [(500 * MS, 2e8)]);
+}
+
 /// Guards against so few lanes that chance overloads them, where those who share them hear of each other.
 #[test_case(6 => 27; "four to a worker")]
 #[test_case(13 => 13; "four to a worker of more")]
--- a/src/state.rs
+++ b/src/state.rs
@@ -120,12 +120,6 @@
         }
     }
 
-    /// When and with what work it was posted to a worker, from a moment on.
-    pub fn sent(&self, worker: usize, from: Nanos) -> impl Iterator<Item = (Nanos, f64)> {
-        let legs = self.legs[..self.posted].iter().filter(move |leg| leg.worker == worker && leg.at >= from);
-        legs.map(|leg| (leg.at, self.most))
-    }
-
     /// The time to spare before it is due, from a moment on, at a worker of such a pace.
     pub fn room(&self, from: Nanos, pace: f64) -> f64 {
         self.due.saturating_sub(from) as f64 - self.run * pace
@@ -212,7 +206,7 @@
     /// How often in a row it took no connection, and until when it is not asked again.
     pub refusals: u32,
     pub refused_till: Nanos,
-    /// What this dispatcher sent it of late while it is cold, and when.
+    /// What this dispatcher sent it of late, less what rights covered while it was cold, and when.
     pub spent: VecDeque<(Nanos, f64)>,
     /// Rights to send it work while it is cold: until when, and how much is left.
     pub rights: Vec<(Nanos, f64)>,
@@ -578,6 +572,28 @@
         }
     }
 
+    /// A txn settled at a worker: its kind has seats for the jobs that ran there together, as far as that is sure, for a
+    /// quarter of their time at least and for twice it at most. Guards against a cold worker pushed over where starts are told
+    /// sooner than the ends before them, and by jobs that were lost or never began.
+    pub(crate) fn learn_seats(&mut self, now: Nanos, settled: usize, at: usize) {
+        let worker = &self.workers[at];
+        let sure = |key: usize, hand: &InHand, leg: &Posting| {
+            let Some(from) =
+                leg.started.filter(|from| leg.worker == at && leg.out && *from >= worker.started)
+            else {
+                return false;
+            };
+            let (age, run) = ((now - from) as f64, hand.run * worker.pace);
+            key == settled || (0.25 * run..=2.0 * run).contains(&age)
+        };
+        let running = self
+            .txns
+            .iter()
+            .filter(|(key, hand)| hand.legs[..hand.posted].iter().any(|leg| sure(*key, hand, leg)));
+        let running = running.map(|(_, hand)| f64::from(hand.txn.slots)).sum();
+        self.seats(worker.kind, running);
+    }
+
     /// Brings up to date what follows from the postings out and from the clock.
     pub(crate) fn tally(&mut self, now: Nanos) {
         for at in self.touched.drain(..) {
