A register of settings that keepers hold, in ring 2 alone and used by nothing yet

This is the part that must be right first, how control machines agree; wire, driver, disk, command and taking up are not there, so nothing of it can be switched on. What: crates/cluster/src/register.rs, CASPaxos (Rystsov 2018). A change names the version that it is based on and gives the next one, or is refused with both; more than half of the keepers have it on disk before that is answered; a keeper acts by nothing that its disk has not, never goes back, and settles by itself what it holds and does not know to be chosen.

--- /dev/null
+++ b/crates/cluster/src/register.rs
@@ -0,0 +1,512 @@
+//! The fleet's settings as one register that the keepers hold, each on its disk: CASPaxos (Rystsov 2018), Paxos (Lamport 1998) on
+//! one value that is changed by a function of the one before. A change names the version that it is based on and gives the next
+//! one, or is refused. What more than half of the keepers hold under one ballot is chosen: it outlives any minority of them and a
+//! restart of all, and no other document ever has its version.
+//! Nothing is answered before the disk has what the answer rests on: the machine says `Store`, is told `stored`, and only
+//! then sends. It is fed messages and moments; paging documents and opening files are its caller's.
+use rosewall::pcg::Pcg;
+use rosewall::sabotage::{Fault, is};
+use rosewall::types::Nanos;
+use serde::{Deserialize, Serialize};
+use std::rc::Rc;
+
+const MS: Nanos = 1_000_000;
+/// A round that has not come to its end is begun anew after this and up to as much again: several ways there and back between
+/// far regions, and two disks, so that two who put at once do not overtake each other for ever.
+const ROUND: Nanos = 400 * MS;
+/// A change that has found no majority by then is given up on: whether it was accepted is not known, and is asked for.
+const GIVE_UP: Nanos = 10_000 * MS;
+/// A keeper that holds what it does not know to be chosen asks after this and up to as much again.
+const SETTLE: Nanos = 1_000 * MS;
+/// The most bytes of a document: a thousand times what the largest known settings take.
+pub const LARGEST: usize = 1024 * 1024;
+
+/// A keeper's place in the list of keepers.
+pub type Keeper = u8;
+
+/// SHA-256 of a document's version and text.
+pub type Digest = [u8; 32];
+
+/// The settings of a fleet, as they were handed in, under their number; 0 is none yet.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Document {
+    pub version: u64,
+    pub text: String,
+}
+
+impl Document {
+    pub fn digest(&self) -> Digest {
+        use sha2::Digest as _;
+        let mut sum = sha2::Sha256::new();
+        sum.update(self.version.to_be_bytes());
+        sum.update(self.text.as_bytes());
+        sum.finalize().into()
+    }
+}
+
+/// Rounds in one order: no two keepers ever begin the same.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Ballot {
+    pub round: u64,
+    pub by: Keeper,
+}
+
+/// What a keeper has on its disk, whole, at each moment.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Stored {
+    /// No ballot below this is taken any more.
+    pub promised: Ballot,
+    pub accepted: Option<(Ballot, Rc<Document>)>,
+    /// The newest that is known to be chosen: by this one acts.
+    pub in_force: Rc<Document>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum Message {
+    Prepare {
+        ballot: Ballot,
+    },
+    Promise {
+        ballot: Ballot,
+        accepted: Option<(Ballot, Rc<Document>)>,
+    },
+    /// A higher ballot was promised.
+    Overtaken {
+        ballot: Ballot,
+        by: Ballot,
+    },
+    Accept {
+        ballot: Ballot,
+        document: Rc<Document>,
+    },
+    Accepted {
+        ballot: Ballot,
+    },
+    /// Chosen; whoever has not this document fetches it.
+    Chosen {
+        version: u64,
+        digest: Digest,
+    },
+}
+
+/// How a change ended.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum Outcome {
+    /// It has this version, and will be taken up everywhere.
+    Accepted {
+        version: u64,
+    },
+    /// Another came between.
+    Refused {
+        based_on: u64,
+        now: u64,
+    },
+    /// Too few keepers answered: it may or may not have been accepted.
+    Unknown,
+    /// One at a time is carried.
+    Busy,
+    TooLarge {
+        bytes: usize,
+    },
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum Effect {
+    Send {
+        to: Keeper,
+        message: Message,
+    },
+    /// To be written beside, synced and renamed; then `stored` is called with the serial.
+    Store {
+        serial: u64,
+        record: Stored,
+    },
+    /// The change that was put has ended.
+    Ended(Outcome),
+    /// This keeper acts by this document, which is on its disk.
+    InForce(Rc<Document>),
+    /// A newer one was chosen, and this keeper has not got it.
+    Fetch {
+        version: u64,
+        digest: Digest,
+    },
+}
+
+/// What is to be done with the register.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+enum Change {
+    Put {
+        based_on: u64,
+        text: Rc<str>,
+    },
+    /// Only finds out what is chosen.
+    Settle,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+enum Phase {
+    Prepares,
+    /// The document that is proposed, and how the change ends once that is chosen.
+    Accepts {
+        document: Rc<Document>,
+        outcome: Outcome,
+    },
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Proposal {
+    change: Change,
+    ballot: Ballot,
+    phase: Phase,
+    /// Who has answered in this phase, a bit each.
+    heard: u8,
+    best: Option<(Ballot, Rc<Document>)>,
+    again_at: Nanos,
+    until: Nanos,
+}
+
+/// What follows once the disk has what it rests on.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+enum Then {
+    Answer(Keeper, Message),
+    ActBy(Rc<Document>),
+}
+
+#[derive(Clone, Debug)]
+pub struct Register {
+    me: Keeper,
+    count: u8,
+    /// What the disk has once all that was said to be stored is.
+    stored: Stored,
+    acts_by: Rc<Document>,
+    proposal: Option<Proposal>,
+    /// The highest round seen anywhere.
+    round: u64,
+    serial: u64,
+    /// What waits for the disk to have this serial or a later one.
+    waiting: Vec<(u64, Then)>,
+    settle_at: Nanos,
+    chance: Pcg,
+    /// Writes that failed; messages that made no sense.
+    pub unstored: u64,
+    pub malformed: u64,
+}
+
+#[cfg(test)]
+impl Register {
+    /// All that what it does next follows from, but for chance.
+    pub fn state(&self) -> impl std::hash::Hash + use<> {
+        let proposal = self.proposal.clone().map(|proposal| Proposal { again_at: 0, until: 0, ..proposal });
+        let (stored, acts_by, waiting) = (self.stored.clone(), self.acts_by.clone(), self.waiting.clone());
+        (stored, acts_by, proposal, self.round, waiting)
+    }
+}
+
+impl Register {
+    /// A keeper as it starts, with what its disk held.
+    pub fn new(me: Keeper, count: u8, stored: Stored, now: Nanos, seed: u64) -> Self {
+        let mut stored = stored;
+        if is(Fault::LowerAfterRestart) {
+            stored.in_force = Rc::default();
+        }
+        if is(Fault::PromiseForgotten) {
+            stored.promised = Ballot::default();
+        }
+        let round = stored.promised.round;
+        let (proposal, waiting, chance) = (None, Vec::new(), Pcg::new(seed));
+        let acts_by = stored.in_force.clone();
+        let mut new = Register {
+            me,
+            count,
+            stored,
+            acts_by,
+            proposal,
+            round,
+            serial: 0,
+            waiting,
+            settle_at: now,
+            chance,
+            unstored: 0,
+            malformed: 0,
+        };
+        new.settle_at = new.later(now, SETTLE);
+        new
+    }
+
+    /// By which document this keeper acts: it is on its disk.
+    pub fn in_force(&self) -> &Rc<Document> {
+        &self.acts_by
+    }
+
+    /// A document that it has, by its number and digest, for whoever fetches it.
+    pub fn document(&self, version: u64, digest: &Digest) -> Option<&Rc<Document>> {
+        let held = self.stored.accepted.iter().map(|(_, document)| document);
+        let mut all = held.chain([&self.stored.in_force]);
+        all.find(|document| document.version == version && document.digest() == *digest)
+    }
+
+    fn later(&mut self, now: Nanos, span: Nanos) -> Nanos {
+        now + span + (self.chance.unit() * span as f64) as Nanos
+    }
+
+    /// Whether it holds what it does not know to be chosen.
+    fn unsettled(&self) -> bool {
+        self.stored
+            .accepted
+            .as_ref()
+            .is_some_and(|(_, document)| document.version > self.stored.in_force.version)
+    }
+
+    pub fn next_due(&self) -> Option<Nanos> {
+        let settles = (self.proposal.is_none() && self.unsettled()).then_some(self.settle_at);
+        self.proposal.as_ref().map(|proposal| proposal.again_at).into_iter().chain(settles).min()
+    }
+
+    pub fn due(&mut self, now: Nanos, effects: &mut Vec<Effect>) {
+        match &self.proposal {
+            Some(proposal) if now >= proposal.until => {
+                let proposal = self.proposal.take();
+                if matches!(proposal, Some(Proposal { change: Change::Put { .. }, .. })) {
+                    effects.push(Effect::Ended(Outcome::Unknown));
+                }
+            }
+            Some(proposal) if now >= proposal.again_at => {
+                let (change, until) = (proposal.change.clone(), proposal.until);
+                self.begin(now, change, until, effects);
+            }
+            None if self.unsettled() && now >= self.settle_at => {
+                self.settle_at = self.later(now, SETTLE);
+                self.begin(now, Change::Settle, now + GIVE_UP, effects);
+            }
+            _ => {}
+        }
+    }
+
+    /// A change is handed in at this keeper.
+    pub fn put(&mut self, now: Nanos, based_on: u64, text: &str, effects: &mut Vec<Effect>) {
+        let put = matches!(self.proposal, Some(Proposal { change: Change::Put { .. }, .. }));
+        if put || text.len() > LARGEST {
+            let outcome = if put { Outcome::Busy } else { Outcome::TooLarge { bytes: text.len() } };
+            effects.push(Effect::Ended(outcome));
+            return;
+        }
+        self.begin(now, Change::Put { based_on, text: text.into() }, now + GIVE_UP, effects);
+    }
+
+    fn begin(&mut self, now: Nanos, change: Change, until: Nanos, effects: &mut Vec<Effect>) {
+        self.round += 1;
+        let ballot = Ballot { round: self.round, by: self.me };
+        let again_at = self.later(now, ROUND);
+        let (phase, best) = (Phase::Prepares, None);
+        self.proposal = Some(Proposal { change, ballot, phase, heard: 0, best, again_at, until });
+        self.send_all(&Message::Prepare { ballot }, effects);
+        self.prepare(self.me, ballot, effects);
+    }
+
+    fn send_all(&self, message: &Message, effects: &mut Vec<Effect>) {
+        let others = (0..self.count).filter(|to| *to != self.me);
+        effects.extend(others.map(|to| Effect::Send { to, message: message.clone() }));
+    }
+
+    /// Has the disk take what is held now; the rest follows it.
+    fn store(&mut self, then: Then, effects: &mut Vec<Effect>) {
+        self.serial += 1;
+        effects.push(Effect::Store { serial: self.serial, record: self.stored.clone() });
+        self.waiting.push((self.serial, then));
+        if is(Fault::AnsweredBeforeDisk) {
+            self.release(0, self.serial, effects);
+        }
+    }
+
+    /// The disk has this record, or could not take it. Then nothing is answered, and what was to be acted by is not: whoever
+    /// asked tries another, or again.
+    pub fn stored(&mut self, now: Nanos, serial: u64, well: bool, effects: &mut Vec<Effect>) {
+        if well {
+            return self.release(now, serial, effects);
+        }
+        self.unstored += 1;
+        self.waiting.retain(|(waits, _)| *waits != serial);
+        let acts = |(_, then): &(u64, Then)| matches!(then, Then::ActBy(_));
+        if !self.waiting.iter().any(acts) {
+            self.stored.in_force = self.acts_by.clone();
+        }
+    }
+
+    fn release(&mut self, now: Nanos, serial: u64, effects: &mut Vec<Effect>) {
+        let ready: Vec<(u64, Then)> = self.waiting.extract_if(.., |(waits, _)| *waits <= serial).collect();
+        for (_, then) in ready {
+            match then {
+                Then::Answer(to, message) if to == self.me => self.feed(now, to, message, effects),
+                Then::Answer(to, message) => effects.push(Effect::Send { to, message }),
+                Then::ActBy(document) => {
+                    self.acts_by = document.clone();
+                    effects.push(Effect::InForce(document));
+                }
+            }
+        }
+    }
+
+    fn prepare(&mut self, from: Keeper, ballot: Ballot, effects: &mut Vec<Effect>) {
+        if ballot <= self.stored.promised {
+            return self.overtaken(from, ballot, effects);
+        }
+        self.stored.promised = ballot;
+        let accepted = self.stored.accepted.clone();
+        self.store(Then::Answer(from, Message::Promise { ballot, accepted }), effects);
+    }
+
+    fn accept(&mut self, from: Keeper, ballot: Ballot, document: Rc<Document>, effects: &mut Vec<Effect>) {
+        if ballot < self.stored.promised && !is(Fault::AcceptedBelowPromise) {
+            return self.overtaken(from, ballot, effects);
+        }
+        self.stored.promised = self.stored.promised.max(ballot);
+        self.stored.accepted = Some((ballot, document));
+        self.store(Then::Answer(from, Message::Accepted { ballot }), effects);
+    }
+
+    fn overtaken(&self, to: Keeper, ballot: Ballot, effects: &mut Vec<Effect>) {
+        let by = self.stored.promised;
+        if to != self.me {
+            effects.push(Effect::Send { to, message: Message::Overtaken { ballot, by } });
+        }
+    }
+
+    /// One message from a keeper.
+    pub fn feed(&mut self, now: Nanos, from: Keeper, message: Message, effects: &mut Vec<Effect>) {
+        if from >= self.count {
+            self.malformed += 1;
+            return;
+        }
+        match message {
+            Message::Prepare { ballot } | Message::Accept { ballot, .. } if ballot.by != from => {
+                self.malformed += 1
+            }
+            Message::Accept { document, .. } if document.text.len() > LARGEST => self.malformed += 1,
+            Message::Prepare { ballot } => {
+                self.round = self.round.max(ballot.round);
+                self.prepare(from, ballot, effects);
+            }
+            Message::Accept { ballot, document } => {
+                self.round = self.round.max(ballot.round);
+                self.settle_at = self.later(now, SETTLE);
+                self.accept(from, ballot, document, effects);
+            }
+            // The next round goes above it.
+            Message::Overtaken { by, .. } => self.round = self.round.max(by.round),
+            Message::Promise { ballot, accepted } => self.promised(from, ballot, accepted, effects),
+            Message::Accepted { ballot } => self.accepted(from, ballot, effects),
+            Message::Chosen { version, digest } => self.chosen(version, digest, effects),
+        }
+    }
+
+    fn majority(&self, heard: u8) -> bool {
+        let most = u32::from(self.count) / 2;
+        if is(Fault::MajorityMiscounted) { heard.count_ones() >= most } else { heard.count_ones() > most }
+    }
+
+    fn promised(
+        &mut self,
+        from: Keeper,
+        ballot: Ballot,
+        accepted: Option<(Ballot, Rc<Document>)>,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(proposal) =
+            self.proposal.as_mut().filter(|p| p.ballot == ballot && p.phase == Phase::Prepares)
+        else {
+            return;
+        };
+        proposal.heard |= 1 << from;
+        if !is(Fault::AcceptedIgnored) {
+            let best = proposal.best.take().into_iter().chain(accepted);
+            proposal.best = best.max_by_key(|(ballot, _)| *ballot);
+        }
+        let heard = proposal.heard;
+        if !self.majority(heard) {
+            return;
+        }
+        let Some(proposal) = &mut self.proposal else { return };
+        let before = proposal.best.as_ref().map(|(_, document)| document.clone());
+        let before = before.unwrap_or_else(|| {
+            if is(Fault::AcceptedIgnored) { self.stored.in_force.clone() } else { Rc::default() }
+        });
+        let (document, outcome) = match &proposal.change {
+            Change::Settle => (before, Outcome::Unknown),
+            // Its own, which an earlier round left with some: it stands.
+            Change::Put { based_on, text } if before.version == *based_on + 1 && before.text == **text => {
+                let version = before.version;
+                (before, Outcome::Accepted { version })
+            }
+            Change::Put { based_on, text } if before.version == *based_on || is(Fault::VersionReused) => {
+                let version = based_on + 1;
+                (Rc::new(Document { version, text: text.to_string() }), Outcome::Accepted { version })
+            }
+            Change::Put { based_on, .. } => {
+                let outcome = Outcome::Refused { based_on: *based_on, now: before.version };
+                (before, outcome)
+            }
+        };
+        (proposal.heard, proposal.phase) = (0, Phase::Accepts { document: document.clone(), outcome });
+        self.send_all(&Message::Accept { ballot, document: document.clone() }, effects);
+        self.accept(self.me, ballot, document, effects);
+    }
+
+    fn accepted(&mut self, from: Keeper, ballot: Ballot, effects: &mut Vec<Effect>) {
+        let Some(proposal) = self.proposal.as_mut().filter(|proposal| proposal.ballot == ballot) else {
+            return;
+        };
+        if !matches!(proposal.phase, Phase::Accepts { .. }) {
+            return;
+        }
+        proposal.heard |= 1 << from;
+        let heard = proposal.heard;
+        if !self.majority(heard) {
+            return;
+        }
+        let Some(Proposal { change, phase: Phase::Accepts { document, outcome }, .. }) = self.proposal.take()
+        else {
+            return;
+        };
+        self.takes(document.clone(), effects);
+        let (version, digest) = (document.version, document.digest());
+        self.send_all(&Message::Chosen { version, digest }, effects);
+        if matches!(change, Change::Put { .. }) {
+            effects.push(Effect::Ended(outcome));
+        }
+    }
+
+    /// Another says that this was chosen.
+    fn chosen(&mut self, version: u64, digest: Digest, effects: &mut Vec<Effect>) {
+        if version <= self.stored.in_force.version {
+            return;
+        }
+        let held = self.stored.accepted.as_ref().map(|(_, document)| document.clone());
+        let same = |document: &Rc<Document>| {
+            document.version == version && (document.digest() == digest || is(Fault::DigestNotCompared))
+        };
+        match held.filter(same) {
+            Some(document) => self.takes(document, effects),
+            None => effects.push(Effect::Fetch { version, digest }),
+        }
+    }
+
+    /// A document that was fetched because it was chosen; false where it is not that one.
+    pub fn fetched(&mut self, wanted: (u64, Digest), document: Document, effects: &mut Vec<Effect>) -> bool {
+        let whole = (document.version, document.digest()) == wanted;
+        if !whole && !is(Fault::HalfTakenUp) {
+            self.malformed += 1;
+            return false;
+        }
+        self.takes(Rc::new(document), effects);
+        true
+    }
+
+    /// Acts by a document from here on, unless it has a newer one: never goes back.
+    fn takes(&mut self, document: Rc<Document>, effects: &mut Vec<Effect>) {
+        if document.version <= self.stored.in_force.version && !is(Fault::GoesBack) {
+            return;
+        }
+        self.stored.in_force = document.clone();
+        self.store(Then::ActBy(document), effects);
+    }
+}
--- a/src/pcg.rs
+++ b/src/pcg.rs
@@ -1,6 +1,6 @@
 //! PCG-XSH-RR 64/32 (M. E. O'Neill, 2014): the only source of chance in the decisions.
 
-#[derive(Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Pcg {
     state: u64,
 }
--- a/src/sabotage.rs
+++ b/src/sabotage.rs
@@ -65,8 +65,43 @@
     RightFromAnswer,
     /// One member's word on silence counts without bound.
     WordUnbounded,
+    // How keepers agree on the fleet's settings.
+    /// A keeper answers before its disk has what the answer rests on.
+    AnsweredBeforeDisk,
+    /// Half of the keepers are taken for more than half.
+    MajorityMiscounted,
+    /// What keepers have accepted before is not looked at.
+    AcceptedIgnored,
+    /// A change gets the number after the one that it names, whatever is there.
+    VersionReused,
+    /// A keeper accepts what lies below what it has promised.
+    AcceptedBelowPromise,
+    /// A keeper that starts anew has promised nothing.
+    PromiseForgotten,
+    /// A document is taken for the chosen one by its number alone.
+    DigestNotCompared,
+    /// What was fetched is taken up though it is not whole.
+    HalfTakenUp,
+    /// A keeper that starts anew acts by nothing of what it had.
+    LowerAfterRestart,
+    /// An older document takes the place of a newer one.
+    GoesBack,
 }
 
+/// Those in how keepers agree on settings: `rosewall-cluster` finds them.
+pub const SETTINGS: &[Fault] = &[
+    Fault::AnsweredBeforeDisk,
+    Fault::MajorityMiscounted,
+    Fault::AcceptedIgnored,
+    Fault::VersionReused,
+    Fault::AcceptedBelowPromise,
+    Fault::PromiseForgotten,
+    Fault::DigestNotCompared,
+    Fault::HalfTakenUp,
+    Fault::LowerAfterRestart,
+    Fault::GoesBack,
+];
+
 /// Those that play between dispatchers: `rosewall-cluster` finds them.
 pub const BETWEEN: &[Fault] = &[
     Fault::SleepIgnored,
