rosewall-rig scale: hollow processes beside real ones, slopes, faults and bounds

Need: figures for the size that is coming, measured on one machine under 300 processes and half of its memory. What: real processes of rosewalld; hollow dispatchers, fifty to a process, of the same library (rosewalld is one now: ground and life); hollow workers and a discovery service, each in a process; three regions of three zones with ways of their own in the relay and in the workers; an open loop of txns that begins in the steady state; restarts, releases, replaced workers, a rack, zone, region or discovery lost, regions cut, keepers killed one by one. Measured from outside: /proc, what the relay carried, what discovery and workers saw, the program's log for who knows whom. Slopes are fitted with a 95% interval, the largest size left out and predicted. Exit codes 0, 1 (a bound passed), 2 (not played). The relay's thread waits by a timer of the reactor: a socket's own time-out is too coarse for a quarter of a millisecond.

--- a/crates/rig/src/error.rs
+++ b/crates/rig/src/error.rs
@@ -30,4 +30,24 @@
     Scenario { path: PathBuf, source: toml::de::Error },
     #[error("RW-RIG-RANGE: {what} is {value}, allowed is {allowed}; change it in the scenario")]
     Range { what: &'static str, value: u64, allowed: &'static str },
+    #[error("RW-RIG-SWEEP: {what}; `rosewall-rig scale --help` lists the names")]
+    Sweep { what: String },
+    #[error(
+        "RW-RIG-HOLLOW: the process of hollow ones could not be started or asked ({words}); raise the limits on processes"
+    )]
+    Hollow { words: String, source: io::Error },
+    #[error("RW-RIG-CHILD: a process of hollow ones ended: {what}")]
+    Child { what: String },
+    #[error(
+        "RW-RIG-SILENT: the process {pid} of hollow ones has ended or says nothing; its last words are above"
+    )]
+    Silent { pid: u32 },
+    #[error(
+        "RW-RIG-LARGE: {what} is {value}, and no more than {most} are allowed on this machine; play a smaller size"
+    )]
+    Large { what: &'static str, value: u64, most: u64 },
+    #[error(
+        "RW-RIG-VIEW: the members had not come to one view within {seconds} s: {seen}; play a smaller size, or look at loss"
+    )]
+    View { seconds: u64, seen: String },
 }
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod play;
 pub mod process;
 pub mod relay;
+pub mod scale;
 pub mod scenario;
 pub mod stand;
 pub mod worker;
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -2,6 +2,9 @@
 use clap::{Parser, Subcommand};
 use rosewall_rig::error::RigError;
 use rosewall_rig::play::{Report, play};
+use rosewall_rig::scale;
+use rosewall_rig::scale::command::Scale;
+use rosewall_rig::scale::map::Ways;
 use rosewall_rig::scenario::Scenario;
 use std::io::IsTerminal;
 use std::path::PathBuf;
@@ -9,13 +12,14 @@
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::thread;
+use std::time::Duration;
 
 #[derive(Parser)]
 #[command(
     name = "rosewall-rig",
     version,
     about = "Plays processes of rosewalld on loopback, with faults between them, and judges them by the four rules",
-    after_help = "Exit codes: 0 no rule broken, 1 a rule broken, 2 the rig could not play.\n\
+    after_help = "Exit codes: 0 no rule broken and no bound passed, 1 one was, 2 the rig could not play.\n\
                   The program is the rosewalld beside this one, or what ROSEWALL_PROGRAM names."
 )]
 struct Cli {
@@ -52,6 +56,35 @@
     Replay { seed: u64 },
     /// Print the drawn scenario of a seed
     Draw { seed: u64 },
+    /// Play a large fleet, real processes beside hollow ones, and measure what each role costs
+    Scale(Box<Scale>),
+    /// A process of hollow ones, which `scale` starts
+    #[command(subcommand, hide = true)]
+    Hollow(Hollow),
+}
+
+#[derive(Subcommand)]
+enum Hollow {
+    Workers { count: usize, seats: usize, zone_ms: f64, zones_ms: f64, regions_ms: f64 },
+    Discovery { followers: usize },
+    Dispatchers { folder: PathBuf, first: usize, last: usize, apart_ms: u64 },
+}
+
+impl Hollow {
+    fn run(&self) -> Result<(), String> {
+        let ms = |ms: f64| Duration::from_secs_f64(ms.clamp(0.0, 10_000.0) / 1e3);
+        match self {
+            Hollow::Workers { count, seats, zone_ms, zones_ms, regions_ms } => {
+                let ways = Ways { zone: ms(*zone_ms), zones: ms(*zones_ms), regions: ms(*regions_ms) };
+                scale::workers::run(*count, *seats, ways, scale::stage::COLD)
+            }
+            Hollow::Discovery { followers } => scale::discovery::run(*followers),
+            Hollow::Dispatchers { folder, first, last, apart_ms } => {
+                let numbers: Vec<usize> = (*first..=*last).collect();
+                scale::dispatchers::run(folder, &numbers, Duration::from_millis(*apart_ms))
+            }
+        }
+    }
 }
 
 fn show(report: &Report, json: bool) {
@@ -89,6 +122,8 @@
             one(scenario)
         }
         Command::Replay { seed } => one(Scenario::drawn(*seed)),
+        Command::Scale(scale) => scale.run(cli.json),
+        Command::Hollow(hollow) => hollow.run().map(|()| true).map_err(|what| RigError::Child { what }),
         Command::Draw { seed } => {
             print!("{}", toml::to_string(&Scenario::drawn(*seed)).unwrap_or_default());
             Ok(true)
--- a/crates/rig/src/play.rs
+++ b/crates/rig/src/play.rs
@@ -507,7 +507,7 @@
 }
 
 /// One request on a connection of its own: the status.
-fn status(address: &str, text: &str, within: Duration) -> Option<u16> {
+pub(crate) fn status(address: &str, text: &str, within: Duration) -> Option<u16> {
     let mut stream = TcpStream::connect(address).ok()?;
     stream.set_read_timeout(Some(within)).ok()?;
     stream.write_all(text.as_bytes()).ok()?;
--- a/crates/rig/src/process.rs
+++ b/crates/rig/src/process.rs
@@ -20,10 +20,14 @@
 /// A shell that runs `first` and then becomes the program. Where the system has `setpriv`, the kernel kills the program
 /// once the thread that started it is gone. Guards against processes that outlive a rig that was killed.
 pub fn command(first: &str) -> Command {
-    let program = program();
+    tied(first, &program())
+}
+
+/// The same for any program; arguments that are added go to it.
+pub fn tied(first: &str, program: &Path) -> Command {
     let tied = "tie=; command -v setpriv >/dev/null 2>&1 && tie='setpriv --pdeathsig KILL --'";
     let mut command = Command::new("/bin/sh");
-    command.args(["-c", &format!("{first}\n{tied}\nexec $tie \"$0\""), &program.to_string_lossy()]);
+    command.args(["-c", &format!("{first}\n{tied}\nexec $tie \"$0\" \"$@\""), &program.to_string_lossy()]);
     command
 }
 
@@ -71,6 +75,16 @@
         }
     }
 
+    /// The newest line of its log with `text`.
+    pub fn last(&self, text: &str) -> Option<String> {
+        let lines = self.log.0.lock().ok()?;
+        lines.iter().rfind(|line| line.contains(text)).cloned()
+    }
+
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
     pub fn lines(&self) -> Vec<String> {
         self.log.0.lock().map(|lines| lines.clone()).unwrap_or_default()
     }
--- a/crates/rig/src/relay.rs
+++ b/crates/rig/src/relay.rs
@@ -1,10 +1,12 @@
 //! Datagrams between processes go through here: each comes with the address that it is for before it, and goes on with
 //! the address that it came from. So every directed pair can lose, delay, repeat, reorder and be cut.
 use crate::error::RigError;
+use crate::scale::map::{Cut, Ways as Distances, zone};
+use async_io::{Async, Timer};
+use futures_lite::FutureExt;
 use rosewall::pcg::Pcg;
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap};
-use std::io::ErrorKind;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, UdpSocket};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
@@ -30,9 +32,15 @@
     /// By the numbers of sender and receiver.
     of: HashMap<(usize, usize), Way>,
     numbers: HashMap<SocketAddr, usize>,
+    /// How far zones lie apart, and two regions that are cut from each other, where that is played.
+    distances: Option<Distances>,
+    parted: Option<Cut>,
     carried: u64,
     bytes: u64,
     lost: u64,
+    /// Datagrams and bytes by the number of the sender and of the receiver.
+    sent: HashMap<usize, (u64, u64)>,
+    got: HashMap<usize, (u64, u64)>,
 }
 
 #[derive(Clone)]
@@ -62,11 +70,11 @@
 
 impl Relay {
     pub fn start(seed: u64) -> Result<Relay, RigError> {
-        let socket = UdpSocket::bind("127.0.0.1:0").map_err(RigError::Socket)?;
-        let address = socket.local_addr().map_err(RigError::Socket)?;
+        let socket = Async::<UdpSocket>::bind(([127, 0, 0, 1], 0)).map_err(RigError::Socket)?;
+        let address = socket.get_ref().local_addr().map_err(RigError::Socket)?;
         let relay = Relay { address, ways: Arc::default(), over: Arc::default() };
         let shared = relay.clone();
-        thread::spawn(move || shared.carry(&socket, seed));
+        thread::spawn(move || async_io::block_on(shared.carry(&socket, seed)));
         Ok(relay)
     }
 
@@ -95,52 +103,77 @@
         self.with(|ways| ways.of.clear());
     }
 
+    /// Zones lie so far apart, beside what else happens on the way.
+    pub fn distances(&self, distances: Distances) {
+        self.with(|ways| ways.distances = Some(distances));
+    }
+
+    pub fn part(&self, cut: Option<Cut>) {
+        self.with(|ways| ways.parted = cut);
+    }
+
+    /// Datagrams and bytes that one has sent, and that were carried to it.
+    pub fn of(&self, number: usize) -> ((u64, u64), (u64, u64)) {
+        let of = |counts: &HashMap<usize, (u64, u64)>| counts.get(&number).copied().unwrap_or_default();
+        self.with(|ways| (of(&ways.sent), of(&ways.got)))
+    }
+
     /// Datagrams carried and lost, and bytes carried.
     pub fn counts(&self) -> (u64, u64, u64) {
         self.with(|ways| (ways.carried, ways.lost, ways.bytes))
     }
 
-    fn carry(&self, socket: &UdpSocket, seed: u64) {
+    async fn carry(&self, socket: &Async<UdpSocket>, seed: u64) {
         let mut chance = Pcg::new(seed);
         let mut late: BinaryHeap<Late> = BinaryHeap::new();
         let (mut bytes, mut serial) = ([0; 2048], 0);
         while !self.over.load(Ordering::Relaxed) {
             while late.peek().is_some_and(|Reverse((at, ..))| *at <= Instant::now()) {
                 if let Some(Reverse((_, _, to, bytes))) = late.pop() {
-                    let _ = socket.send_to(&bytes, to);
+                    let _ = socket.get_ref().send_to(&bytes, to);
                 }
             }
-            let next = late.peek().map_or(Duration::from_millis(20), |Reverse((at, ..))| {
-                at.saturating_duration_since(Instant::now()).max(Duration::from_micros(200))
-            });
-            let _ = socket.set_read_timeout(Some(next.min(Duration::from_millis(20))));
-            let (length, from) = match socket.recv_from(&mut bytes) {
-                Ok(got) => got,
-                Err(error) if matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => continue,
-                // An answer that no one was there; the next datagram is as good as before.
-                Err(_) => continue,
+            let soon = Instant::now() + Duration::from_millis(20);
+            let next = late.peek().map_or(soon, |Reverse((at, ..))| soon.min(*at));
+            // An error is an answer that no one was there; the next datagram is as good as before.
+            let came = async { socket.recv_from(&mut bytes).await.ok() };
+            let due = async {
+                Timer::at(next).await;
+                None
             };
+            let Some((length, from)) = came.or(due).await else { continue };
             let Some(to) = read(&bytes[..length]) else { continue };
             write(from, &mut bytes);
             let way = self.with(|ways| {
                 let pair = (ways.numbers.get(&from), ways.numbers.get(&to));
                 let pair = pair.0.copied().zip(pair.1.copied());
                 let way = pair.and_then(|pair| ways.of.get(&pair)).copied().unwrap_or(ways.usual);
-                let lost = way.cut || chance.unit() < way.loss;
+                let zones = pair.map(|(from, to)| (zone(from), zone(to)));
+                let parted = zones.zip(ways.parted).is_some_and(|((from, to), cut)| cut.parts(from, to));
+                let lost = way.cut || parted || chance.unit() < way.loss;
+                let size = length as u64 - PREFIX as u64;
+                let count = |counts: &mut (u64, u64)| *counts = (counts.0 + 1, counts.1 + size);
+                if let Some((from, to)) = pair {
+                    count(ways.sent.entry(from).or_default());
+                    if !lost {
+                        count(ways.got.entry(to).or_default());
+                    }
+                }
                 ways.lost += u64::from(lost);
                 ways.carried += u64::from(!lost);
-                ways.bytes += if lost { 0 } else { length as u64 - PREFIX as u64 };
-                (!lost).then_some(way)
+                ways.bytes += if lost { 0 } else { size };
+                let far = zones.zip(ways.distances).map(|((from, to), far)| far.between(from, to));
+                (!lost).then_some((way, far.unwrap_or_default()))
             });
-            let Some(way) = way else { continue };
+            let Some((way, far)) = way else { continue };
             for _ in 0..1 + u64::from(chance.unit() < way.twice) {
                 let wait = way.delay_ms as f64 + chance.unit() * way.jitter_ms as f64;
+                let wait = far + Duration::from_secs_f64(wait / 1e3);
                 serial += 1;
-                if wait > 0.0 {
-                    let at = Instant::now() + Duration::from_secs_f64(wait / 1e3);
-                    late.push(Reverse((at, serial, to, bytes[..length].to_vec())));
+                if wait > Duration::ZERO {
+                    late.push(Reverse((Instant::now() + wait, serial, to, bytes[..length].to_vec())));
                 } else {
-                    let _ = socket.send_to(&bytes[..length], to);
+                    let _ = socket.get_ref().send_to(&bytes[..length], to);
                 }
             }
         }
--- a/crates/rosewalld/src/life/mod.rs
+++ b/crates/rosewalld/src/life/mod.rs
@@ -1,6 +1,6 @@
 //! Start, signals, stop.
 mod logger;
-mod start;
+pub mod start;
 
 use std::process::ExitCode;
 
--- a/crates/rosewalld/src/life/start.rs
+++ b/crates/rosewalld/src/life/start.rs
@@ -21,8 +21,8 @@
     async_io::block_on(ex.run(serve(&path, given, ex.clone())))
 }
 
-/// Reads the file that is named.
-fn load(path: &str) -> Result<Given, String> {
+/// Reads the file that is named; an error says what is wrong in it.
+pub fn load(path: &str) -> Result<Given, String> {
     let text =
         std::fs::read(path).map_err(|error| format!("cannot read the configuration {path}: {error}"))?;
     let mut given =
--- a/crates/rosewalld/src/main.rs
+++ b/crates/rosewalld/src/main.rs
@@ -1,7 +1,4 @@
-//! The dispatcher on sockets: `ground` is what its drivers stand on, `life` its start, signals, log and end.
-mod ground;
-mod life;
-
+//! The dispatcher on sockets.
 fn main() -> std::process::ExitCode {
-    life::run()
+    rosewalld::life::run()
 }
