Scale: a restarted hollow dispatcher waits until its port is free

Seen: the release of the fleet ended with RW-CLUSTER-LISTEN. A hollow one that is killed frees its port only once its tasks were dropped; it was started in the same turn.

--- a/crates/rig/src/scale/stage.rs
+++ b/crates/rig/src/scale/stage.rs
@@ -47,6 +47,8 @@
 enum Turn {
     Ends(usize, Instant),
     Rises(usize, Instant),
+    /// A hollow one that was killed: it starts again a moment later, when its port is free.
+    Waits(usize, Instant),
 }
 
 struct Hollow {
@@ -259,6 +261,8 @@
                         self.turns.push(Turn::Ends(at, since));
                     }
                 }
+                Turn::Waits(at, since) if since.elapsed() > LOOK => self.rise(at)?,
+                Turn::Waits(at, since) => self.turns.push(Turn::Waits(at, since)),
                 Turn::Rises(at, since) => {
                     let Some(process) = &self.real[at] else { continue };
                     let address = process.line("listening on ", Duration::ZERO);
@@ -370,7 +374,8 @@
         }
         if at >= self.plan.dispatchers {
             self.kill(at)?;
-            return self.rise(at);
+            self.turns.push(Turn::Waits(at, Instant::now()));
+            return Ok(());
         }
         if let Ok(mut doors) = self.doors.lock() {
             doors[at] = None;
