The planted fault of an old incarnation has a check of its own

Since members learn how long ways are they suspect fewer who live there, so that believing old news does no harm large enough for that play's bounds. The play stays as it is; beside it the machine is asked directly what it believes of an older incarnation.

--- a/crates/cluster/src/field_tests.rs
+++ b/crates/cluster/src/field_tests.rs
@@ -430,7 +430,9 @@
             }
             Fault::WantedTwice => crate::tests::a_request_that_comes_twice_is_given_to_once(),
             Fault::OldIncarnation => {
-                none_that_lives_is_held_dead_for_more_than_a_refutation_at_a_fifth_lost_and_pauses()
+                none_that_lives_is_held_dead_for_more_than_a_refutation_at_a_fifth_lost_and_pauses();
+                let believed = crate::tests::what_is_believed_of_an_old_incarnation(2);
+                assert_eq!(believed, crate::wire::Standing::Alive);
             }
             Fault::RankOff => after_a_kill_all_that_are_left_agree_within_three_seconds(5, 1),
             Fault::WordUnbounded => crate::tests::one_members_word_empties_no_fleet(),
--- a/crates/cluster/src/tests.rs
+++ b/crates/cluster/src/tests.rs
@@ -2,6 +2,7 @@
 use crate::error::ClusterError;
 use crate::file::{nearest, read};
 use crate::lease::{Candidate, Keeper, SPAN};
+use crate::members::Members;
 use crate::ranks::ranks;
 use crate::rights::Giver;
 use crate::signals::{Hearing, Signals};
@@ -207,3 +208,17 @@
 fn the_key_that_was_meant_is_found(word: &str, meant: Option<&str>) {
     assert_eq!(nearest(word, &["seeds", "keepers", "clocks_ms"]), meant);
 }
+
+/// Guards against a member that has refuted its death and is dropped by news of before, however late that comes.
+#[test_case(3 => Standing::Dead; "of the same incarnation")]
+#[test_case(2 => Standing::Alive; "of the one before")]
+pub(crate) fn what_is_believed_of_an_old_incarnation(incarnation: u32) -> Standing {
+    let own = ([10, 0, 0, 9], 7946).into();
+    let mut members = Members::new(1, "me".into(), own, Vec::new(), 0, 5);
+    let (alive, mut out) = (Record { standing: Standing::Alive, ..record("a") }, Vec::new());
+    members.heard(MS, alive.addr, &alive, &[], &mut out);
+    let teller = Record { standing: Standing::Alive, addr: ([10, 0, 0, 2], 7946).into(), ..record("b") };
+    let news = Part::Record(Record { standing: Standing::Dead, incarnation, ..alive });
+    members.heard(2 * MS, teller.addr, &teller, &[news], &mut out);
+    members.get("a").unwrap().record.standing
+}
