Passing over lanes costs by how many share a worker; a way within a twentieth counts as none

Change: the cost of lanes grows from nothing where four share a worker to a fifth of the fleet's wait for each lane of eight where twelve do (the bounds of stretches()); of the way to a zone only what lies beyond a twentieth of the room counts, in the choice alone, and it lessens no queue.

New tests were seen to fail with their part taken out, one by one.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -23,7 +23,9 @@
 /// reuse connections, enough that uneven traffic evens out.
 const SHARERS: f64 = 12.0;
 
-/// What passing over all lanes costs, in the fleet's mean waits: one of eight costs a fifth of it.
+/// Where fewest dispatchers share a worker, each sees enough of it to know its queue.
+const FEW_SHARERS: f64 = 4.0;
+/// What passing over all lanes costs where most share a worker, in the fleet's mean waits: one of eight costs a fifth.
 const LANES_APART: f64 = 1.6;
 
 const ALL: &[Effect] = &[Repeatable, Referenced, OnceOnly];
@@ -446,6 +448,9 @@
         let (lanes, mean) = (if bound.is_some() { &scheme.all } else { &scheme.lanes }, scheme.mean());
         let fleet = self.unseen * fade(self.lag, self.lag_at, now, SECOND * self.rare);
         let late = fade(self.late, self.lag_at, now, SECOND * self.rare);
+        // Guards against lanes that hold all sizes once the whole fleet has queues of which each sees little.
+        let unknown = ((self.sharers - FEW_SHARERS) / (SHARERS - FEW_SHARERS)).clamp(0.0, 1.0);
+        let each_lane = LANES_APART * unknown * fleet / lanes.len().max(1) as f64;
         let (mut least, mut best) = (f64::INFINITY, None);
         self.lacking = None;
         for step in 0..2 * lanes.len() {
@@ -478,19 +483,17 @@
             // Who is sent to by turns and within a budget is not as busy as the rest.
             let others = if cold { (0.0, 0.0) } else { (fleet * room, self.others) };
             let wait = worker.wait(now, need, mean, others);
-            let strain = (wait + self.zones.extra(worker.zone)) / room;
+            let strain = wait / room + self.zones.part(worker.zone, room);
             // Taken when there is a seat for it in this dispatcher's part, the worker is not distrusted, and
             // it would start about at once: a twentieth of the room before the SLA time is within error.
             if seat && doubt < 0.25 && strain < 0.05 {
                 return Some((at, wait, wait / room));
             }
             // Own jobs in flight, and their work, weigh again: what others see and do is alike. A job that
-            // fails loses all, one that waits out its room a part. And it failed there before. And its lane is
-            // some way off: guards against lanes that hold all sizes once the whole fleet has queues.
+            // fails loses all, one that waits out its room a part. And it failed there before.
             let failed = hand.legs[..hand.posted].iter().any(|posting| posting.worker == at);
             let held = (worker.ahead / room + worker.out) / worker.seats;
-            let apart =
-                if bound.is_some() { 0.0 } else { LANES_APART * fleet * far as f64 / lanes.len() as f64 };
+            let apart = if bound.is_some() { 0.0 } else { each_lane * far as f64 };
             let cost = strain + held + doubt + f64::from(failed) + apart;
             if cost < least {
                 // Turned away is by the queue: that a worker is slow shortens its room, but is no overload,
@@ -606,10 +609,8 @@
         if std::mem::take(&mut worker.silent) {
             worker.trust = Trust::default();
         }
-        // What the network takes to another zone is no queue.
-        self.zones.observe(worker.zone, posting.delay(now));
-        let queued = (posting.delay(now) - self.zones.extra(worker.zone)).max(0.0);
-        (worker.lag, worker.lag_at) = (queued, now);
+        (worker.lag, worker.lag_at) = (posting.delay(now), now);
+        self.zones.observe(worker.zone, worker.lag);
         let hand = &self.txns[key];
         // The fleet's delay, in rooms of the txn (past 1.5 none is sent), is the mean of some ten starts.
         let delay = (worker.lag / hand.room(posting.at, worker.pace).max(0.25 * hand.run)).min(1.5);
--- a/src/zones.rs
+++ b/src/zones.rs
@@ -11,6 +11,10 @@
 /// that has become slower is noticed.
 const RISE: f64 = 1.05;
 
+/// As much of the time to spare counts as nothing: within the error of what is known of a worker's queue. Guards against
+/// lanes given up for a millisecond.
+const NEGLIGIBLE: f64 = 0.05;
+
 /// The least start delays of late, in nanoseconds, inside the dispatcher's zone and beyond it.
 #[derive(Debug, Default)]
 pub struct ZoneDelays {
@@ -40,6 +44,11 @@
         let (same, other) = (self.same.unwrap_or(0.0), self.other.unwrap_or(0.0));
         (other - same).max(0.0)
     }
+
+    /// The part of a request's time to spare that the network takes to `zone` beyond what can be neglected.
+    pub fn part(&self, zone: u16, time_to_spare: f64) -> f64 {
+        (self.extra(zone) / time_to_spare - NEGLIGIBLE).max(0.0)
+    }
 }
 
 #[cfg(test)]
--- a/src/zones/tests.rs
+++ b/src/zones/tests.rs
@@ -25,3 +25,11 @@
     (0..30).for_each(|_| delays.observe(3, 40.0 * MS));
     assert_eq!(delays.extra(3), 40.0 * MS);
 }
+
+#[test_case(2_000.0 => 0; "a long request bears the way")]
+#[test_case(100.0 => 750; "a short one does not")]
+fn part_of_the_time_to_spare(time_to_spare: f64) -> i64 {
+    let mut delays = ZoneDelays::new(0);
+    delays.observe(1, 80.0 * MS);
+    (delays.part(1, time_to_spare * MS) * 1000.0).round() as i64
+}
