--- a/src/policy.rs
+++ b/src/policy.rs
@@ -512,7 +512,7 @@
             return;
         };
         let slots = f64::from(txn.slots).max(1.0);
-        let run = scheme.run(txn.hint, slots);
+        let run = scheme.run(txn.hint, slots, txn.expiry.saturating_sub(now));
         // A job waits until both its slots and its memory fit; a worker has a unit of memory a slot.
         let (work, need) = (run * slots, slots.max(f64::from(txn.memory)));
         scheme.add(work);
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -1048,3 +1048,17 @@
     let [Action::Post { worker, .. }] = acts[..] else { panic!("{acts:?}") };
     d.schemes[0].lanes.iter().position(|at| d.workers[*at].id == worker).unwrap()
 }
+
+/// Guards against a class that is declined until one of it has run: an SLA time near the time that clients wait left no room
+/// for any queue. Found by two tests as it was tried before.
+#[test]
+fn a_class_never_seen_to_run_leaves_room_for_a_queue() {
+    let mut d = one_of_a_large_fleet();
+    let now = 100_000 * MS;
+    (d.lag, d.lag_at) = (0.5, now);
+    let request = Txn { expiry: now + 3_000 * MS, ..without_hint(1, 2, now) };
+    let acts = handle(&mut d, now, Event::Arrived(request));
+    assert!(matches!(acts[..], [Action::Post { .. }]), "{acts:?}");
+    let hand = &d.txns[d.held[&1]];
+    assert_eq!((hand.run, hand.room(now, 1.0)), (750e6, 2_250e6));
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -342,6 +342,10 @@
     bins[..bin].iter().sum::<f64>() + bins.get(bin).map_or(0.0, |work| work * part)
 }
 
+/// A class of which none has run is taken to run for so much of the time that its clients wait, at most: three quarters are
+/// left for the queue, so that the first is sent.
+const FIRST_RUN_MOST: f64 = 0.25;
+
 pub struct Scheme {
     pub effect: Effect,
     pub group: String,
@@ -405,9 +409,12 @@
 
     /// How long a txn is taken to run: as it hints, else as those like it did. Guards against users who give no hints, for
     /// whom a figure out of the air has each worker look slow or fast by what it happened to run.
-    pub fn run(&mut self, hint: Option<Nanos>, slots: f64) -> f64 {
+    pub fn run(&mut self, hint: Option<Nanos>, slots: f64, waits: Nanos) -> f64 {
         self.hinted |= hint.is_some();
-        let mean = if self.hinted { self.mean() / slots } else { self.ran.0 };
+        let (ran, count) = self.ran;
+        // Guards against requests declined until one has run, where the SLA time is near the time that clients wait.
+        let ran = if count > 0.0 { ran } else { ran.min(FIRST_RUN_MOST * waits as f64) };
+        let mean = if self.hinted { self.mean() / slots } else { ran };
         hint.map_or(mean, |hint| hint as f64)
     }
 
