--- a/crates/rosewalld/tests/daemon.rs
+++ b/crates/rosewalld/tests/daemon.rs
@@ -571,3 +571,16 @@
     assert_eq!((output.status.success(), errors.lines().count()), (false, 1));
     assert!(errors.contains(message), "{errors}");
 }
+
+/// Guards against a cap on the list of workers below what the operators' trial may play.
+#[test]
+fn a_list_of_a_thousand_workers_is_served() {
+    let worker = Worker::start(&script(&[]));
+    let hosts = (0..1_024).map(|at| host(&format!("w{at}"), &worker.dial, "ready")).collect();
+    let discovery = Discovery::start(hosts);
+    let daemon = Daemon::start(&configuration(&discovery.address, 1024));
+    daemon.until_ready();
+    let mut client = daemon.client();
+    let statuses: Vec<u16> = (0..20).map(|at| client.ask(&format!("id{at}"), "charge", 5.0).status).collect();
+    assert_eq!(statuses, [200; 20]);
+}
--- a/crates/wire/src/tests.rs
+++ b/crates/wire/src/tests.rs
@@ -2,9 +2,11 @@
 use super::client::{Answer, Heard, Intake, Names, Request, answer, place};
 use super::discovery::{Bulletin, listing};
 use super::http::{BODY_LIMIT, Fault, HEAD_LIMIT, Inlet};
+use super::talk;
 use super::worker::{Reply, Sounding, Told, posting};
 use rosewall::pcg::Pcg;
 use rosewall::types::{Outcome, Report, Share, Standing, WorkerId};
+use std::net::SocketAddr;
 use test_case::test_case;
 
 fn names() -> Names {
@@ -292,3 +294,29 @@
     let at = |port| std::net::SocketAddr::from(([127, 0, 0, 1], port));
     super::talk::read(&bytes, at(port), &[at(7000), at(7001)]) == Ok((0, share))
 }
+
+/// Guards against a cap on the number of workers: 1,024 with long names, indented, come whole.
+#[test]
+fn a_list_of_a_thousand_workers_is_read_whole() {
+    let host = |at: usize| {
+        let name = format!("{at:0>200}");
+        ENTRY.replace("\"w\"", &format!("\"{name}\"")).replace(',', ",\n            ")
+    };
+    let hosts: Vec<String> = (0..1_024).map(host).collect();
+    let text = format!(
+        "{{\n    \"seq\": 1,\n    \"whole\": true,\n    \"hosts\": [{}]\n}}",
+        hosts.join(",\n        ")
+    );
+    let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{text}", text.len());
+    let (body, _) = Bulletin::default().feed(answer.as_bytes()).unwrap().unwrap();
+    let list = listing(&body, &names()).unwrap();
+    assert_eq!((list.hosts.len(), list.hosts[1_023].host.len()), (1_024, 200));
+}
+
+#[test]
+fn a_datagram_names_the_last_of_a_thousand_dispatchers() {
+    let peers: Vec<SocketAddr> = (0..1_024_u16).map(|at| ([127, 0, 0, 1], 10_000 + at).into()).collect();
+    let worker = WorkerId { addr: [10, 0, 0, 1], port: 9 };
+    let share = Share { worker, halves: 3, work: 40, sign: Share::UNKNOWN };
+    assert_eq!(talk::read(&talk::datagram(1_023, &share), peers[1_023], &peers), Ok((1_023, share)));
+}
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -455,6 +455,7 @@
 #[test_case(1, 1_000; "one worker of a thousand dispatchers")]
 #[test_case(1_000, 1; "a thousand workers of one dispatcher")]
 #[test_case(1_000, 1_000; "a thousand of each")]
+#[test_case(4_096, 4_096; "four thousand of each")]
 fn any_size_of_fleet(workers: u16, dispatchers: u32) {
     let listed =
         |n: u16| Listed { worker: WorkerId { addr: [10; 4], port: n }, ..entry(0, Standing::Ready, 0) };
