Rename: attempt, idempotent, keyed and non-idempotent in the decisions

The operators' words for code: posting is attempt, legs are attempts, and the effects are named Idempotent, Keyed and NonIdempotent in src. Setting names (posting.most, repeatable, referenced, once-only) and the world's files stay.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -8,10 +8,10 @@
 //! lanes by DIFFEQAL, `Worker` holds what is believed of a worker, and `handle` joins them.
 use crate::sabotage::{Fault, is};
 pub use crate::state::Dispatcher;
-use crate::state::Effect::{OnceOnly, Referenced, Repeatable};
+use crate::state::Effect::{Idempotent, Keyed, NonIdempotent};
 use crate::state::Stage::{Again, Answered, Doubted, Held, Out};
+use crate::state::{Attempt, Effect, InHand, Input, Map, Scheme, Stage, Step};
 use crate::state::{BINS, Bins, SECOND, below, fade};
-use crate::state::{Effect, InHand, Input, Map, Posting, Scheme, Stage, Step};
 use crate::state::{Told, Trust, Worker, token};
 use crate::types::{Action, Ended, Event, Listed, Nanos, Outcome, Report, Scope, Share, Standing};
 use crate::types::{Txn, TxnId};
@@ -28,7 +28,7 @@
 /// What passing over all lanes costs where most share a worker, in the fleet's mean waits: one of eight costs a fifth.
 const LANES_APART: f64 = 1.6;
 
-const ALL: &[Effect] = &[Repeatable, Referenced, OnceOnly];
+const ALL: &[Effect] = &[Idempotent, Keyed, NonIdempotent];
 
 /// States, input, for which effects, next state, effect. What is not listed changes nothing.
 type Row = (&'static [Stage], Input, &'static [Effect], Stage, Step);
@@ -39,9 +39,9 @@
     (&[Out, Again], Input::Settled, ALL, Answered, Step::Nothing),
     (&[Out], Input::NotRun, ALL, Held, Step::Place),
     (&[Again], Input::NotRun, ALL, Doubted, Step::Place),
-    (&[Out], Input::MayHaveRun, &[Repeatable], Held, Step::Place),
-    (&[Out, Again], Input::MayHaveRun, &[Referenced], Doubted, Step::Place),
-    (&[Out], Input::MayHaveRun, &[OnceOnly], Answered, Step::Reverse),
+    (&[Out], Input::MayHaveRun, &[Idempotent], Held, Step::Place),
+    (&[Out, Again], Input::MayHaveRun, &[Keyed], Doubted, Step::Place),
+    (&[Out], Input::MayHaveRun, &[NonIdempotent], Answered, Step::Reverse),
     (&[Held], Input::GivenUp, ALL, Answered, Step::Decline),
     (&[Out, Doubted, Again], Input::GivenUp, ALL, Answered, Step::Reverse),
     (&[Held, Out, Doubted, Again], Input::Left, ALL, Answered, Step::Nothing),
@@ -106,14 +106,14 @@
 }
 
 impl Worker {
-    /// Distrust halves in 5 s: several times the time between postings to one worker at low traffic.
+    /// Distrust halves in 5 s: several times the time between attempts to one worker at low traffic.
     pub(crate) const HALF: f64 = 5.0 * SECOND;
     /// Distrust above the fleet's mean: when all look bad at once, no one is worse than another. Or what
     /// errors of the scheme left, for which starts do not make up; of any, for what cannot be posted again.
     /// Guards against a worker that starts all and fails most, or one scheme.
     fn doubt(&self, now: Nanos, mean: f64, scheme: usize, effect: Effect) -> f64 {
         let all = (self.trust.now(now, Worker::HALF) - mean).clamp(0.0, 0.95);
-        let of = self.of.iter().enumerate().filter(|(at, _)| *at == scheme || effect == OnceOnly);
+        let of = self.of.iter().enumerate().filter(|(at, _)| *at == scheme || effect == NonIdempotent);
         of.map(|(_, trust)| trust.now(now, 3.0 * Worker::HALF)).fold(all, f64::max)
     }
 
@@ -200,7 +200,7 @@
             }
             w.blend(now);
             let limit = if w.logged { 0.1 } else { 0.5 };
-            if w.logged != (w.doubt(now, self.distrust, 0, OnceOnly) > limit) {
+            if w.logged != (w.doubt(now, self.distrust, 0, NonIdempotent) > limit) {
                 w.logged = !w.logged;
                 let what = if w.logged { "distrusted" } else { "trusted again" };
                 acts.push(Action::Say(format!("worker {}: {what}", w.id)));
@@ -444,7 +444,7 @@
         let InHand { txn, effect, most, need, doubt, .. } = *hand;
         let scheme = &self.schemes[usize::from(txn.scheme)];
         // Where a repeat is bound to a group, its workers may be any in the list.
-        let bound = doubt.filter(|_| effect == Referenced && !is(Fault::WindowIgnored));
+        let bound = doubt.filter(|_| effect == Keyed && !is(Fault::WindowIgnored));
         let (lanes, mean) = (if bound.is_some() { &scheme.all } else { &scheme.lanes }, scheme.mean());
         let fleet = self.unseen * fade(self.lag, self.lag_at, now, SECOND * self.rare);
         let late = fade(self.late, self.lag_at, now, SECOND * self.rare);
@@ -491,7 +491,7 @@
             }
             // Own jobs in flight, and their work, weigh again: what others see and do is alike. A job that
             // fails loses all, one that waits out its room a part. And it failed there before.
-            let failed = hand.legs[..hand.posted].iter().any(|posting| posting.worker == at);
+            let failed = hand.attempts[..hand.posted].iter().any(|attempt| attempt.worker == at);
             let held = (worker.ahead / room + worker.out) / worker.seats;
             let apart = if bound.is_some() { 0.0 } else { each_lane * far as f64 };
             let cost = strain + held + doubt + f64::from(failed) + apart;
@@ -533,7 +533,7 @@
 
     fn place(&mut self, now: Nanos, key: usize, acts: &mut Vec<Action>) {
         let InHand { txn: Txn { id, expiry, .. }, due, run, posted, .. } = self.txns[key];
-        if posted >= self.most_postings || now >= expiry {
+        if posted >= self.most_attempts || now >= expiry {
             return self.input(now, id, Input::GivenUp, acts);
         }
         let lane = self.lane(now, key);
@@ -584,7 +584,7 @@
         let own = if cold { worker.spend(now, hand.most) } else { hand.most };
         worker.spent.push_back((now, own));
         let expected = worker.queue(hand.need, worker.told(now));
-        hand.legs[hand.posted] = Posting { worker: at, at: now, expected, started: None, out: true };
+        hand.attempts[hand.posted] = Attempt { worker: at, at: now, expected, started: None, out: true };
         let token = token(hand.txn.id, hand.posted);
         hand.posted += 1;
         hand.stage = next(hand.stage, Input::Posted, hand.effect).0;
@@ -600,29 +600,29 @@
     }
 
     fn started(&mut self, now: Nanos, txn: TxnId, leg: u8, acts: &mut Vec<Action>) {
-        let Some((key, posting)) = self.posting(txn, leg) else { return };
-        self.txns[key].legs[usize::from(leg)].started = Some(now);
+        let Some((key, attempt)) = self.attempt(txn, leg) else { return };
+        self.txns[key].attempts[usize::from(leg)].started = Some(now);
         self.tally(now);
-        let worker = &mut self.workers[posting.worker];
+        let worker = &mut self.workers[attempt.worker];
         worker.heard(now, 0.1);
-        worker.reached = worker.reached.max(if self.first_come { posting.at } else { 0 });
+        worker.reached = worker.reached.max(if self.first_come { attempt.at } else { 0 });
         if std::mem::take(&mut worker.silent) {
             worker.trust = Trust::default();
         }
-        (worker.lag, worker.lag_at) = (posting.delay(now), now);
+        (worker.lag, worker.lag_at) = (attempt.delay(now), now);
         self.zones.observe(worker.zone, worker.lag);
         let hand = &self.txns[key];
         // The fleet's delay, in rooms of the txn (past 1.5 none is sent), is the mean of some ten starts.
-        let delay = (worker.lag / hand.room(posting.at, worker.pace).max(0.25 * hand.run)).min(1.5);
+        let delay = (worker.lag / hand.room(attempt.at, worker.pace).max(0.25 * hand.run)).min(1.5);
         (self.lag, self.lag_at) = (self.lag + 0.1 * (delay - self.lag), now);
         // What would have come late from an idle worker too tells nothing of queues.
-        let late = hand.room(now, worker.pace) < 0.0 && hand.room(posting.at, worker.pace) > 0.0;
+        let late = hand.room(now, worker.pace) < 0.0 && hand.room(attempt.at, worker.pace) > 0.0;
         self.late += 0.05 * self.rare * (f64::from(late) - self.late);
         let run = 2.0 * hand.run * worker.pace + 0.5 * SECOND;
         acts.push(Action::Timer { at: now + run as Nanos, token: token(txn, usize::from(leg)) });
     }
 
-    /// A timer of one txn: it is still held, or a posting is overdue.
+    /// A timer of one txn: it is still held, or an attempt is overdue.
     fn watch(&mut self, now: Nanos, token: u64, acts: &mut Vec<Action>) {
         let (txn, leg) = (token as TxnId, (token >> 32) as usize);
         let Some(&key) = self.held.get(&txn) else { return };
@@ -630,33 +630,33 @@
         if matches!(hand.stage, Held | Doubted) && leg == hand.posted {
             return self.place(now, key, acts);
         }
-        let Some((_, posting)) = self.posting(txn, leg as u8) else { return };
-        let worker = &mut self.workers[posting.worker];
+        let Some((_, attempt)) = self.attempt(txn, leg as u8) else { return };
+        let worker = &mut self.workers[attempt.worker];
         // A worker that has shown life since is only busy; one that has not may be hung.
-        let silent = posting.started.is_none() && worker.alive < posting.at;
-        let by = if silent { 0.8 } else { f64::from(posting.started.is_some()) * 0.15 };
+        let silent = attempt.started.is_none() && worker.alive < attempt.at;
+        let by = if silent { 0.8 } else { f64::from(attempt.started.is_some()) * 0.15 };
         worker.trust.add(now, Worker::HALF, by);
         if silent {
             worker.silent = true;
-            self.tell(now, posting.worker, true, true, acts);
+            self.tell(now, attempt.worker, true, true, acts);
         }
-        let age = now - posting.started.unwrap_or(posting.at);
+        let age = now - attempt.started.unwrap_or(attempt.at);
         acts.push(Action::Timer { at: now + age.max(300_000_000), token });
     }
 
     fn ended(&mut self, now: Nanos, end: Ended, acts: &mut Vec<Action>) {
         let Ended { txn, leg, outcome, complete, report } = end;
-        let Some((key, posting)) = self.posting(txn, leg) else { return };
+        let Some((key, attempt)) = self.attempt(txn, leg) else { return };
         if outcome == Outcome::Settled {
-            self.learn_seats(now, key, posting.worker);
+            self.learn_seats(now, key, attempt.worker);
         }
-        self.txns[key].legs[usize::from(leg)].out = false;
-        self.read_report(now, posting.worker, report);
+        self.txns[key].attempts[usize::from(leg)].out = false;
+        self.read_report(now, attempt.worker, report);
         let InHand { run, due, txn: Txn { scheme, hint, .. }, .. } = self.txns[key];
         let scheme = usize::from(scheme);
-        let warm = self.warmth(&self.workers[posting.worker], now) >= 1.0;
+        let warm = self.warmth(&self.workers[attempt.worker], now) >= 1.0;
         let mut slow = false;
-        let worker = &mut self.workers[posting.worker];
+        let worker = &mut self.workers[attempt.worker];
         if outcome == Outcome::NoConnection {
             worker.refused(now);
         }
@@ -667,7 +667,7 @@
         }
         match outcome {
             Outcome::Settled => {
-                if let Some(from) = posting.started {
+                if let Some(from) = attempt.started {
                     self.schemes[scheme].learn(hint, (now - from) as f64);
                     // One job tells little of a worker's pace (its hint may be off): a tenth at a time, the
                     // first ones more. Guards against a slow worker to which each sends few jobs.
@@ -696,14 +696,14 @@
             Outcome::NoConnection | Outcome::Broken => worker.trust.add(now, Worker::HALF, 0.6),
             Outcome::Full | Outcome::Unfit | Outcome::Withdrawn | Outcome::Moot => {}
         }
-        self.tell(now, posting.worker, slow, false, acts);
+        self.tell(now, attempt.worker, slow, false, acts);
         if outcome == Outcome::NoConnection {
             self.keep_to(now);
         }
         let input = if complete { Input::Settled } else { sorted(outcome) };
         let hand = &mut self.txns[key];
         if input == Input::MayHaveRun {
-            hand.doubt.get_or_insert((posting.worker, posting.at));
+            hand.doubt.get_or_insert((attempt.worker, attempt.at));
         }
         self.input(now, txn, input, acts);
     }
@@ -737,7 +737,7 @@
     fn input(&mut self, now: Nanos, txn: TxnId, input: Input, acts: &mut Vec<Action>) {
         let Some(&key) = self.held.get(&txn) else { return };
         let hand = &mut self.txns[key];
-        let effect = if is(Fault::OnceOnlyAgain) { Repeatable } else { hand.effect };
+        let effect = if is(Fault::OnceOnlyAgain) { Idempotent } else { hand.effect };
         let (stage, step) = next(hand.stage, input, effect);
         hand.stage = stage;
         match step {
@@ -752,7 +752,7 @@
             Step::Reverse => acts.push(Action::Reverse { txn }),
         }
         let hand = &self.txns[key];
-        if hand.stage == Answered && hand.legs[..hand.posted].iter().all(|posting| !posting.out) {
+        if hand.stage == Answered && hand.attempts[..hand.posted].iter().all(|attempt| !attempt.out) {
             self.held.remove(&txn);
             self.txns.remove(key);
         }
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -119,17 +119,17 @@
     gaps.estimate > 0.1
 }
 
-#[test_case(Out, Input::NotRun, OnceOnly => (Held, Step::Place); "once only proven not run")]
-#[test_case(Out, Input::MayHaveRun, OnceOnly => (Answered, Step::Reverse); "once only may have run")]
-#[test_case(Out, Input::MayHaveRun, Repeatable => (Held, Step::Place); "repeatable runs again")]
-#[test_case(Out, Input::MayHaveRun, Referenced => (Doubted, Step::Place); "referenced in its group")]
-#[test_case(Again, Input::NotRun, Referenced => (Doubted, Step::Place); "doubt stays")]
-#[test_case(Held, Input::GivenUp, OnceOnly => (Answered, Step::Decline); "nothing out may be declined")]
-#[test_case(Doubted, Input::GivenUp, Referenced => (Answered, Step::Reverse); "doubted is reversed")]
-#[test_case(Out, Input::GivenUp, Repeatable => (Answered, Step::Reverse); "expiry with a posting out")]
-#[test_case(Answered, Input::Settled, Repeatable => (Answered, Step::Nothing); "second outcome")]
-#[test_case(Answered, Input::MayHaveRun, OnceOnly => (Answered, Step::Nothing); "late outcome")]
-#[test_case(Answered, Input::Left, Referenced => (Answered, Step::Nothing); "lapsed after its end")]
+#[test_case(Out, Input::NotRun, NonIdempotent => (Held, Step::Place); "once only proven not run")]
+#[test_case(Out, Input::MayHaveRun, NonIdempotent => (Answered, Step::Reverse); "once only may have run")]
+#[test_case(Out, Input::MayHaveRun, Idempotent => (Held, Step::Place); "repeatable runs again")]
+#[test_case(Out, Input::MayHaveRun, Keyed => (Doubted, Step::Place); "referenced in its group")]
+#[test_case(Again, Input::NotRun, Keyed => (Doubted, Step::Place); "doubt stays")]
+#[test_case(Held, Input::GivenUp, NonIdempotent => (Answered, Step::Decline); "nothing out may be declined")]
+#[test_case(Doubted, Input::GivenUp, Keyed => (Answered, Step::Reverse); "doubted is reversed")]
+#[test_case(Out, Input::GivenUp, Idempotent => (Answered, Step::Reverse); "expiry with an attempt out")]
+#[test_case(Answered, Input::Settled, Idempotent => (Answered, Step::Nothing); "second outcome")]
+#[test_case(Answered, Input::MayHaveRun, NonIdempotent => (Answered, Step::Nothing); "late outcome")]
+#[test_case(Answered, Input::Left, Keyed => (Answered, Step::Nothing); "lapsed after its end")]
 fn table(stage: Stage, input: Input, effect: Effect) -> (Stage, Step) {
     next(stage, input, effect)
 }
@@ -288,7 +288,7 @@
 #[test_case(1.99, 0 => false; "cheap ones go first")]
 fn turned_away(strain: f64, scheme: u8) -> bool {
     let mut d = dispatcher(1);
-    let key = d.txns.insert(InHand::new(txn(1, scheme, MS, 0), Repeatable, 1.0, 1.0, 1.0, 0));
+    let key = d.txns.insert(InHand::new(txn(1, scheme, MS, 0), Idempotent, 1.0, 1.0, 1.0, 0));
     d.kept(0, key, 0.0, strain)
 }
 
@@ -319,7 +319,7 @@
 fn late_starts_are_forgotten_in_two_seconds(rare: f64) -> bool {
     let mut d = dispatcher(1);
     (d.late, d.rare, d.lag_at) = (1.0, rare, 0);
-    let key = d.txns.insert(InHand::new(txn(1, 2, MS, 0), Repeatable, 1.0, 1.0, 1.0, 0));
+    let key = d.txns.insert(InHand::new(txn(1, 2, MS, 0), Idempotent, 1.0, 1.0, 1.0, 0));
     (0..20).all(|_| d.kept(3_000 * MS, key, 0.0, 0.6))
 }
 
@@ -376,7 +376,7 @@
     }
     handle(&mut d, 600 * MS, Event::Due { token: token(1, 0) });
     d.tally(600 * MS);
-    (d.workers[0].doubt(600 * MS, 0.0, 0, Repeatable) > 0.25, d.workers[0].out)
+    (d.workers[0].doubt(600 * MS, 0.0, 0, Idempotent) > 0.25, d.workers[0].out)
 }
 
 /// Guards against a worker that starts all and fails most: its starts had it trusted again at once.
@@ -394,7 +394,7 @@
         handle(&mut d, 0, Event::Ended(ended));
     }
     let late = 20 * SECOND as Nanos;
-    [0, 1, 2].map(|scheme| d.workers[0].doubt(late, 0.0, scheme, Repeatable) > 0.25)
+    [0, 1, 2].map(|scheme| d.workers[0].doubt(late, 0.0, scheme, Idempotent) > 0.25)
 }
 
 /// Guards against a txn posted again to the worker that has just failed it.
@@ -442,10 +442,10 @@
     let mut d = dispatcher(3);
     d.workers.iter_mut().for_each(|worker| worker.trust.add(0, Worker::HALF, 0.8));
     d.beat(0, &mut Vec::new());
-    assert!(d.workers.iter().all(|worker| worker.doubt(0, d.distrust, 0, Repeatable) == 0.0));
+    assert!(d.workers.iter().all(|worker| worker.doubt(0, d.distrust, 0, Idempotent) == 0.0));
     d.workers[1].trust.add(0, Worker::HALF, 0.9);
     d.beat(0, &mut Vec::new());
-    let doubts = [1, 0].map(|at: usize| d.workers[at].doubt(0, d.distrust, 0, Repeatable));
+    let doubts = [1, 0].map(|at: usize| d.workers[at].doubt(0, d.distrust, 0, Idempotent));
     assert!(doubts[0] > 0.1 && doubts[1] == 0.0);
 }
 
@@ -563,7 +563,7 @@
                         let n = usize::from(worker.addr[3]);
                         let record = txns.get_mut(&txn).unwrap();
                         assert!(record.answers == 0 && now < record.expiry, "posted after its answer");
-                        assert!(record.out.is_empty(), "two postings out");
+                        assert!(record.out.is_empty(), "two attempts out");
                         assert!(standing[n] == Standing::Ready, "posted to a worker that leaves");
                         if let (1.., Some((first, since))) = (record.scheme, record.first_doubt) {
                             assert!(record.scheme == 1, "an effect twice");
@@ -723,7 +723,7 @@
 fn those_are_told_who_keep_to_the_worker() {
     let mut d = numbered(7, 40, 30);
     let acts = handle(&mut d, MS, Event::Arrived(txn(1, 2, 100 * MS, 0)));
-    let at = d.txns[0].legs[0].worker;
+    let at = d.txns[0].attempts[0].worker;
     let keep = (0..40).filter(|me| *me != 7 && numbered(*me, 40, 30).schemes[0].lanes.contains(&at));
     assert_eq!(told(&acts), keep.map(|me| (me as u16, 2)).collect::<Vec<_>>());
 }
@@ -838,9 +838,9 @@
 fn a_cold_worker_tells_its_own_pace_a_little() {
     let mut d = dispatcher(1);
     d.workers[0].started = 1;
-    let posting = Posting { started: Some(MS), out: true, ..Posting::default() };
-    let mut hand = InHand::new(txn(1, 0, 100 * MS, 0), Repeatable, 1e8, 1e8, 1.0, 500 * MS);
-    (hand.stage, hand.posted, hand.legs[0]) = (Out, 1, posting);
+    let attempt = Attempt { started: Some(MS), out: true, ..Attempt::default() };
+    let mut hand = InHand::new(txn(1, 0, 100 * MS, 0), Idempotent, 1e8, 1e8, 1.0, 500 * MS);
+    (hand.stage, hand.posted, hand.attempts[0]) = (Out, 1, attempt);
     let key = d.txns.insert(hand);
     d.held.insert(1, key);
     handle(&mut d, 400 * MS, ended(1, 0, Outcome::Settled));
@@ -900,7 +900,7 @@
     let mut d = dispatcher(1);
     (0..5).for_each(|_| d.schemes[2].add(100e6));
     d.turned = turned;
-    let key = d.txns.insert(InHand::new(txn(1, scheme, MS, 0), Repeatable, 1.0, 1.0, 1.0, 0));
+    let key = d.txns.insert(InHand::new(txn(1, scheme, MS, 0), Idempotent, 1.0, 1.0, 1.0, 0));
     // A second's wait: half of its own room, two and a half times theirs.
     d.kept(0, key, SECOND, 0.5)
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -14,7 +14,7 @@
     value * (-(now.saturating_sub(since) as f64) / half).exp2()
 }
 
-/// The timer of one posting of a txn.
+/// The timer of one attempt of a txn.
 pub(crate) fn token(txn: TxnId, leg: usize) -> u64 {
     u64::from(txn) | (leg as u64) << 32
 }
@@ -35,22 +35,22 @@
 
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Effect {
-    Repeatable,
-    Referenced,
-    OnceOnly,
+    Idempotent,
+    Keyed,
+    NonIdempotent,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Stage {
     /// Nothing out, and nothing that forbids a decline.
     Held,
-    /// One posting out; all before it are harmless.
+    /// One attempt out; all before it are harmless.
     Out,
-    /// Nothing out; an earlier posting may have run.
+    /// Nothing out; an earlier attempt may have run.
     Doubted,
-    /// One posting out; an earlier one may have run.
+    /// One attempt out; an earlier one may have run.
     Again,
-    /// The final answer is given; postings may still be out.
+    /// The final answer is given; attempts may still be out.
     Answered,
 }
 
@@ -73,17 +73,17 @@
 }
 
 #[derive(Clone, Copy, Debug, Default)]
-pub struct Posting {
+pub struct Attempt {
     pub worker: usize,
     pub at: Nanos,
-    /// The wait that this dispatcher's earlier postings were to cause.
+    /// The wait that this dispatcher's earlier attempts were to cause.
     pub expected: f64,
     pub started: Option<Nanos>,
     pub out: bool,
 }
 
-/// Postings kept for one txn; where more are allowed, no more than these are made.
-pub const LEGS: usize = 6;
+/// Attempts kept for one txn; where more are allowed, no more than these are made.
+pub const MOST_ATTEMPTS: usize = 6;
 
 #[derive(Debug)]
 pub struct InHand {
@@ -98,9 +98,9 @@
     pub run: f64,
     pub need: f64,
     pub due: Nanos,
-    pub legs: [Posting; LEGS],
+    pub attempts: [Attempt; MOST_ATTEMPTS],
     pub posted: usize,
-    /// The first posting that may have run: its worker and when it was sent.
+    /// The first attempt that may have run: its worker and when it was sent.
     pub doubt: Option<(usize, Nanos)>,
     /// Whether it has waited for a right.
     pub asked: bool,
@@ -108,7 +108,7 @@
 
 impl InHand {
     pub fn new(txn: Txn, effect: Effect, work: f64, run: f64, need: f64, due: Nanos) -> Self {
-        let legs = [Posting::default(); LEGS];
+        let attempts = [Attempt::default(); MOST_ATTEMPTS];
         let most = work * if txn.hint.is_some() { 1.0 } else { 2.0 };
         InHand {
             txn,
@@ -119,7 +119,7 @@
             run,
             need,
             due,
-            legs,
+            attempts,
             posted: 0,
             doubt: None,
             asked: false,
@@ -193,13 +193,13 @@
     pub trust: Trust,
     /// What errors of each scheme left.
     pub of: Vec<Trust>,
-    /// Silent since a posting that should have started: its next start has it trusted again.
+    /// Silent since an attempt that should have started: its next start has it trusted again.
     pub silent: bool,
-    /// When the latest posting of those that it has started was sent.
+    /// When the latest attempt of those that it has started was sent.
     pub reached: Nanos,
     /// When it last gave a sign of life.
     pub alive: Nanos,
-    /// How much longer the last posting waited for its start than this dispatcher's own work explains.
+    /// How much longer the last attempt waited for its start than this dispatcher's own work explains.
     pub lag: f64,
     pub lag_at: Nanos,
     /// Slots that others hold by its last report.
@@ -216,7 +216,7 @@
     pub spent: VecDeque<(Nanos, f64)>,
     /// Rights to send it work while it is cold: until when, and how much is left.
     pub rights: Vec<(Nanos, f64)>,
-    /// Of this dispatcher's postings out: the seats they take, the slots running, the time they still need.
+    /// Of this dispatcher's attempts out: the seats they take, the slots running, the time they still need.
     pub out: f64,
     pub running: f64,
     pub ahead: f64,
@@ -245,11 +245,11 @@
 
     /// Whether it is served first come first served and has started what was posted later: by more than
     /// connections differ in the time they take.
-    pub fn passed(&self, posting: &Posting) -> bool {
-        posting.started.is_none() && self.reached > posting.at + 20_000_000
+    pub fn passed(&self, attempt: &Attempt) -> bool {
+        attempt.started.is_none() && self.reached > attempt.at + 20_000_000
     }
 
-    /// The wait until a seat is free, by this dispatcher's postings and others' seats and work: what is
+    /// The wait until a seat is free, by this dispatcher's attempts and others' seats and work: what is
     /// in the worker ends one by one, as fast as its seats work together.
     pub fn queue(&self, need: f64, (others, work): (f64, f64)) -> f64 {
         let count = self.out + others;
@@ -375,9 +375,9 @@
         let sla = pick::<f64>(map, &name("sla"))?;
         Ok(Scheme {
             effect: match pick::<String>(map, &name("effect"))?.as_str() {
-                "repeatable" => Effect::Repeatable,
-                "referenced" => Effect::Referenced,
-                "once-only" => Effect::OnceOnly,
+                "repeatable" => Effect::Idempotent,
+                "referenced" => Effect::Keyed,
+                "once-only" => Effect::NonIdempotent,
                 other => return Err(format!("setting {} cannot be read: {other:?}", name("effect"))),
             },
             group: pick(map, &name("group"))?,
@@ -476,7 +476,7 @@
     }
 }
 
-impl Posting {
+impl Attempt {
     /// How much longer it has waited, for a start now, than this dispatcher's own work explains.
     pub fn delay(&self, now: Nanos) -> f64 {
         ((now - self.at) as f64 - self.expected).max(0.0)
@@ -505,7 +505,7 @@
     pub(crate) following: bool,
     pub(crate) ask_at: Nanos,
     pub(crate) ask_failures: u32,
-    pub(crate) most_postings: usize,
+    pub(crate) most_attempts: usize,
     /// How many there are, and the part that this one does not see: a lone one knows all that waits.
     pub(crate) dispatchers: f64,
     /// Its place among them.
@@ -540,7 +540,7 @@
     /// The mean distrust, and the least capacity for a unit of listed size, as of the last beat.
     pub(crate) distrust: f64,
     pub(crate) unit: f64,
-    /// Workers with postings of this dispatcher out, and room for the lanes' parts: kept to save allocations.
+    /// Workers with attempts of this dispatcher out, and room for the lanes' parts: kept to save allocations.
     pub(crate) touched: Vec<usize>,
     pub(crate) targets: Vec<f64>,
     /// What the network takes to the own zone and beyond.
@@ -579,7 +579,7 @@
             rights: pick_or(map, "rights", false)?,
             begun: now,
             unseen: 1.0 - 1.0 / dispatchers,
-            most_postings: pick::<usize>(map, "posting.most")?.min(LEGS),
+            most_attempts: pick::<usize>(map, "posting.most")?.min(MOST_ATTEMPTS),
             report_at: ["free-slots", "inflight"].map(|name| fields.split(',').position(|f| f == name)),
             figures,
             list_asked: pick::<String>(map, "list.mode")? == "asked",
@@ -609,7 +609,7 @@
     /// sooner than the ends before them, and by jobs that were lost or never began.
     pub(crate) fn learn_seats(&mut self, now: Nanos, settled: usize, at: usize) {
         let worker = &self.workers[at];
-        let sure = |key: usize, hand: &InHand, leg: &Posting| {
+        let sure = |key: usize, hand: &InHand, leg: &Attempt| {
             let Some(from) =
                 leg.started.filter(|from| leg.worker == at && leg.out && *from >= worker.started)
             else {
@@ -621,30 +621,30 @@
         let running = self
             .txns
             .iter()
-            .filter(|(key, hand)| hand.legs[..hand.posted].iter().any(|leg| sure(*key, hand, leg)));
+            .filter(|(key, hand)| hand.attempts[..hand.posted].iter().any(|leg| sure(*key, hand, leg)));
         let running = running.map(|(_, hand)| f64::from(hand.txn.slots)).sum();
         self.seats(worker.kind, running);
     }
 
-    /// Brings up to date what follows from the postings out and from the clock.
+    /// Brings up to date what follows from the attempts out and from the clock.
     pub(crate) fn tally(&mut self, now: Nanos) {
         for at in self.touched.drain(..) {
             let worker = &mut self.workers[at];
             (worker.out, worker.running, worker.ahead, worker.over) = (0.0, 0.0, 0.0, (0.0, 0.0));
         }
         for (_, hand) in &self.txns {
-            for posting in hand.legs[..hand.posted].iter().filter(|posting| posting.out) {
-                self.touched.push(posting.worker);
-                let worker = &mut self.workers[posting.worker];
+            for attempt in hand.attempts[..hand.posted].iter().filter(|attempt| attempt.out) {
+                self.touched.push(attempt.worker);
+                let worker = &mut self.workers[attempt.worker];
                 // Guards against a worker that lost one job and is then taken for full until that expires.
-                if worker.passed(posting) {
+                if worker.passed(attempt) {
                     continue;
                 }
-                let age = now.saturating_sub(posting.started.unwrap_or(now)) as f64;
+                let age = now.saturating_sub(attempt.started.unwrap_or(now)) as f64;
                 worker.out += hand.need;
                 // A job past its hint has, as such sizes go, about a third of its age still to run.
                 worker.ahead += hand.need * (hand.run * worker.pace - age).max(0.3 * age);
-                if let Some(started) = posting.started {
+                if let Some(started) = attempt.started {
                     let over = (age / hand.run.max(1e6)).min(10.0);
                     // Hints are rough: one that runs long tells little alone, many do, where others tell theirs.
                     if self.shares && over > worker.own_pace {
@@ -654,7 +654,7 @@
                     let lives = started >= worker.started;
                     worker.running += if lives { f64::from(hand.txn.slots) } else { 0.0 };
                 } else {
-                    let delay = posting.delay(now);
+                    let delay = attempt.delay(now);
                     if delay > fade(worker.lag, worker.lag_at, now, SECOND) {
                         (worker.lag, worker.lag_at) = (delay, now);
                     }
@@ -663,11 +663,11 @@
         }
     }
 
-    /// A posting that is still out, and the place of its txn.
-    pub(crate) fn posting(&self, txn: TxnId, leg: u8) -> Option<(usize, Posting)> {
+    /// An attempt that is still out, and the place of its txn.
+    pub(crate) fn attempt(&self, txn: TxnId, leg: u8) -> Option<(usize, Attempt)> {
         let key = *self.held.get(&txn)?;
         let hand = &self.txns[key];
-        let posting = hand.legs[..hand.posted].get(usize::from(leg))?;
-        posting.out.then_some((key, *posting))
+        let attempt = hand.attempts[..hand.posted].get(usize::from(leg))?;
+        attempt.out.then_some((key, *attempt))
     }
 }
