Test of even work over a fleet measures ten seconds in place of four and a half

Change: the same bound over ten seconds, as strict on what is uneven. Eight stays near its bound, so it may still flake.

--- a/crates/rosewalld/tests/cluster.rs
+++ b/crates/rosewalld/tests/cluster.rs
@@ -145,7 +145,8 @@
     let even = |stage: &Stage, what: &str| {
         std::thread::sleep(Duration::from_millis(500));
         let from = Instant::now();
-        std::thread::sleep(Duration::from_millis(4_500));
+        // Long enough that the bound is not reached by chance alone: in half of it the text as found came to 1.28.
+        std::thread::sleep(Duration::from_millis(10_000));
         let uneven = stage.uneven(from, Instant::now());
         println!("{what}: {uneven:.2}");
         assert!(uneven <= 1.25, "{what}: {uneven:.2} of the mean");
