A burst is noticed by the attempts that wait, before any of them has started

In the second in which the burst begins (250 to 1,580 requests sent a second, 1,064 s of work for 260 s/s of capacity) those that start waited 0.4 s, those that are sent will wait 1.4 to 1.9 s; in the next three seconds another 1,780 s of work are sent. So a queue was noticed once it had been worked off: for ten seconds almost nothing started in time (5, 0, 0, 0 of some 600 sent a second in the short classes), and waits fell below a second only 12 s after the burst. A dispatcher there sends one to five requests a second and tried each of its eight lanes once before it turned any away. The short classes lose most, as the queue stands at what the class with the longest time to spare can bear. Ruled out by the same logs: cold workers (none), distrust, lists, errors (3), tenants as the only cause (the flood is of one tenant, but the jam hits both).

Change: start_delays.rs keeps the last 32 attempts in the order they were sent. One that waits counts as if it started now, where that raises the estimate; one just sent never lowers it; the newest weighs a fifth. In place of lag, lag_at and late in the decisions. Attempts that end before they start tell of their worker alone.

Tests: start_delays/tests.rs, and a_burst_is_turned_away_before_any_of_it_has_started (3 and 4 of 16 sent; 8 and 9 with waiting attempts left out: seen to fail so, as does attempts_that_wait_raise_...). Tests that set lag and late state them by starts; delays_count_by_the_room_they_fill asks for 0.2 in place of 0.1, as one start weighs twice as much: the two cases lie at 0.1 and 0.3, as 0.05 and 0.15 before.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod pcg;
 pub mod policy;
 pub mod sabotage;
+mod start_delays;
 mod state;
 pub mod types;
 mod zones;
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -7,6 +7,7 @@
 //! How to read it: `TABLE` says what may follow for a txn, `choose` picks its worker, `recut` draws the
 //! lanes by DIFFEQAL, `Worker` holds what is believed of a worker, and `handle` joins them.
 use crate::sabotage::{Fault, is};
+use crate::start_delays::{AttemptId, Congestion, Sent};
 pub use crate::state::Dispatcher;
 use crate::state::Effect::{Idempotent, Keyed, NonIdempotent};
 use crate::state::Stage::{Again, Answered, Doubted, Held, Out};
@@ -446,8 +447,8 @@
         // Where a repeat is bound to a group, its workers may be any in the list.
         let bound = doubt.filter(|_| effect == Keyed && !is(Fault::WindowIgnored));
         let (lanes, mean) = (if bound.is_some() { &scheme.all } else { &scheme.lanes }, scheme.mean());
-        let fleet = self.unseen * fade(self.lag, self.lag_at, now, SECOND * self.rare);
-        let late = fade(self.late, self.lag_at, now, SECOND * self.rare);
+        let Congestion { delay, late } = self.start_delays.congestion(now, self.rare);
+        let fleet = self.unseen * delay;
         // Guards against lanes that hold all sizes once the whole fleet has queues of which each sees little.
         let unknown = ((self.sharers - FEW_SHARERS) / (SHARERS - FEW_SHARERS)).clamp(0.0, 1.0);
         let each_lane = LANES_APART * unknown * fleet / lanes.len().max(1) as f64;
@@ -557,9 +558,7 @@
     fn kept(&mut self, now: Nanos, key: usize, wait: f64, strain: f64) -> bool {
         let value = self.schemes[usize::from(self.txns[key].txn.scheme)].value.max(1e-9);
         let most = self.schemes.iter().map(|scheme| scheme.value).fold(0.0, f64::max);
-        // Forgotten if nothing starts: half in 1 s, or up to 3 s where few jobs are seen. Guards against
-        // turning all away for ever, and against forgetting from one rare start to the next.
-        let late = fade(self.late, self.lag_at, now, SECOND * self.rare);
+        let late = self.start_delays.congestion(now, self.rare).late;
         // As far as txns of the highest value are turned away, a cheaper one's wait counts over the least
         // room of those dearer. Guards against queues that only long rooms can bear.
         let room = |s: &Scheme| s.sla + (s.stretch - 1.0).max(0.0) * s.mean();
@@ -586,6 +585,9 @@
         let expected = worker.queue(hand.need, worker.told(now));
         hand.attempts[hand.posted] = Attempt { worker: at, at: now, expected, started: None, out: true };
         let token = token(hand.txn.id, hand.posted);
+        let id = AttemptId { request: hand.txn.id, number: hand.posted as u8 };
+        let time_to_spare = hand.room(now, worker.pace);
+        self.start_delays.sent(Sent { id, at: now, expected, time_to_spare, run: hand.run });
         hand.posted += 1;
         hand.stage = next(hand.stage, Input::Posted, hand.effect).0;
         acts.push(Action::Post { txn: hand.txn.id, worker: worker.id });
@@ -611,13 +613,8 @@
         }
         (worker.lag, worker.lag_at) = (attempt.delay(now), now);
         self.zones.observe(worker.zone, worker.lag);
+        self.start_delays.started(AttemptId { request: txn, number: leg }, now);
         let hand = &self.txns[key];
-        // The fleet's delay, in rooms of the txn (past 1.5 none is sent), is the mean of some ten starts.
-        let delay = (worker.lag / hand.room(attempt.at, worker.pace).max(0.25 * hand.run)).min(1.5);
-        (self.lag, self.lag_at) = (self.lag + 0.1 * (delay - self.lag), now);
-        // What would have come late from an idle worker too tells nothing of queues.
-        let late = hand.room(now, worker.pace) < 0.0 && hand.room(attempt.at, worker.pace) > 0.0;
-        self.late += 0.05 * self.rare * (f64::from(late) - self.late);
         let run = 2.0 * hand.run * worker.pace + 0.5 * SECOND;
         acts.push(Action::Timer { at: now + run as Nanos, token: token(txn, usize::from(leg)) });
     }
@@ -651,6 +648,7 @@
             self.learn_seats(now, key, attempt.worker);
         }
         self.txns[key].attempts[usize::from(leg)].out = false;
+        self.start_delays.ended(AttemptId { request: txn, number: leg });
         self.read_report(now, attempt.worker, report);
         let InHand { run, due, txn: Txn { scheme, hint, .. }, .. } = self.txns[key];
         let scheme = usize::from(scheme);
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -58,6 +58,18 @@
     acts
 }
 
+/// The latest attempts all started at `now`, each with such a delay, and so many of the 32 that are kept too late.
+fn starts_of_late(d: &mut Dispatcher, now: Nanos, delay: f64, late: u32) {
+    let wait = 2.0 * SECOND;
+    for request in 0..32 {
+        let id = AttemptId { request: 1_000_000 + request, number: 0 };
+        let time_to_spare = if request >= 32 - late { 0.5 * wait } else { 1.25 * wait };
+        let expected = wait - delay * time_to_spare;
+        d.start_delays.sent(Sent { id, at: now - wait as Nanos, expected, time_to_spare, run: 0.0 });
+        d.start_delays.started(id, now);
+    }
+}
+
 #[test_case(4, 0.1 => vec![-100, -17, 33, 83]; "the source's example")]
 #[test_case(4, 0.2 => vec![-200, -33, 67, 167]; "twice the shift")]
 #[test_case(1, 0.4 => vec![0]; "one worker")]
@@ -196,7 +208,7 @@
     let mut d = Dispatcher::start(0, 7, &settings()).unwrap();
     let entries = vec![entry(0, Standing::Ready, 100 * MS)];
     handle(&mut d, 2_000 * MS, Event::List { scope: Scope::Kept, entries });
-    (d.lag, d.lag_at, d.late) = (lag, at * MS, 1.0);
+    starts_of_late(&mut d, at * MS, lag, 32);
     !handle(&mut d, at * MS, Event::Arrived(txn(1, 0, 20 * MS, at * MS))).is_empty()
         && d.txns.iter().any(|(_, hand)| hand.posted == 1)
 }
@@ -310,7 +322,7 @@
     let mut d = dispatcher(1);
     drop(handle(&mut d, MS, Event::Arrived(Txn { expiry: 60_000 * MS, ..txn(1, 0, hint * MS, 0) })));
     handle(&mut d, wait * MS, Event::Started { txn: 1, leg: 0 });
-    d.lag < 0.1
+    d.start_delays.congestion(wait * MS, 1.0).delay < 0.2
 }
 
 /// Guards against a jam that stays: between two rare starts the late ones were forgotten.
@@ -318,9 +330,10 @@
 #[test_case(5.0 => false; "where few are")]
 fn late_starts_are_forgotten_in_two_seconds(rare: f64) -> bool {
     let mut d = dispatcher(1);
-    (d.late, d.rare, d.lag_at) = (1.0, rare, 0);
+    d.rare = rare;
+    starts_of_late(&mut d, 10_000 * MS, 0.0, 32);
     let key = d.txns.insert(InHand::new(txn(1, 2, MS, 0), Idempotent, 1.0, 1.0, 1.0, 0));
-    (0..20).all(|_| d.kept(3_000 * MS, key, 0.0, 0.6))
+    (0..20).all(|_| d.kept(13_000 * MS, key, 0.0, 0.6))
 }
 
 #[test_case(4, 40 => (40, 4, 4); "few dispatchers use all workers")]
@@ -785,7 +798,7 @@
         handle(&mut d, now + MS, Event::Started { txn: id, leg: 0 });
         handle(&mut d, now + 900 * MS, ended(id, 0, Outcome::Settled));
     }
-    assert_eq!(d.late, 0.0);
+    assert_eq!(d.start_delays.congestion(21_000 * MS, 1.0).late, 0.0);
 }
 
 /// Guards against workers that fail by turns: what can be repeated finds out, and the rest keeps away for a while.
@@ -820,15 +833,17 @@
 }
 
 /// Guards against a jam kept up: where starts are late, what a slow worker leaves of a txn's room is what counts.
-#[test_case(0.0 => true; "no start late: sent")]
-#[test_case(0.34 => false; "a third of the starts late: turned away")]
-fn a_slow_worker_with_a_queue_takes_less_where_starts_are_late(late: f64) -> bool {
+#[test_case(0 => true; "no start late: sent")]
+#[test_case(9 => false; "those of late: turned away")]
+fn a_slow_worker_with_a_queue_takes_less_where_starts_are_late(late: u32) -> bool {
+    let now = 10_000 * MS;
     let mut d = dispatcher(1);
     let worker = &mut d.workers[0];
     // Of 600 ms of room its pace leaves 100; a wait of 200 ms.
-    (worker.pace, worker.paced, worker.lag, worker.lag_at) = (2.6, 9.0, 200.0 * 1e6, 0);
-    (d.late, d.lag_at, d.unseen) = (late, 0, 0.0);
-    let acts = handle(&mut d, 0, Event::Arrived(txn(1, 0, 300 * MS, 0)));
+    (worker.pace, worker.paced, worker.lag, worker.lag_at) = (2.6, 9.0, 200.0 * 1e6, now);
+    d.unseen = 0.0;
+    starts_of_late(&mut d, now, 0.0, late);
+    let acts = handle(&mut d, now, Event::Arrived(txn(1, 0, 300 * MS, now)));
     matches!(acts[..], [Action::Post { .. }])
 }
 
@@ -987,7 +1002,7 @@
 /// lane for `part` of that; lanes are numbered from the smallest jobs.
 fn lane_where_all_have_queues(mut d: Dispatcher, part: f64) -> usize {
     let now = 100_000 * MS;
-    (d.lag, d.lag_at) = (0.3, now);
+    starts_of_late(&mut d, now, 0.3, 0);
     d.schemes[0].bins[bin_of(1e7)] = 1e7;
     d.schemes[2].bins[bin_of(2e9)] = 2e10;
     (d.schemes[0].seen, d.schemes[2].seen) = (1.0, 10.0);
@@ -1049,10 +1064,25 @@
 fn a_class_never_seen_to_run_leaves_room_for_a_queue() {
     let mut d = one_of_a_large_fleet();
     let now = 100_000 * MS;
-    (d.lag, d.lag_at) = (0.5, now);
+    starts_of_late(&mut d, now, 0.5, 0);
     let request = Txn { expiry: now + 3_000 * MS, ..without_hint(1, 2, now) };
     let acts = handle(&mut d, now, Event::Arrived(request));
     assert!(matches!(acts[..], [Action::Post { .. }]), "{acts:?}");
     let hand = &d.txns[d.held[&1]];
     assert_eq!((hand.run, hand.room(now, 1.0)), (750e6, 2_250e6));
 }
+
+/// Guards against a burst that fills all queues before the first start tells of them: each dispatcher tried all eight of its
+/// lanes first, for ten seconds all that was sent was late, and classes wanted soon were hardly served. None of these starts.
+#[test_case(250 => true; "four a second")]
+#[test_case(500 => true; "two a second")]
+fn a_burst_is_turned_away_before_any_of_it_has_started(gap: Nanos) -> bool {
+    let mut d = among(300, 0, warm(200));
+    let sent = |id: &TxnId| {
+        let now = (10_000 + Nanos::from(*id) * gap) * MS;
+        let acts = handle(&mut d, now, Event::Arrived(txn(*id, 2, 100 * MS, now)));
+        matches!(acts[..], [Action::Post { .. }])
+    };
+    let sent = (0..16).filter(sent).count();
+    (2..=5).contains(&sent)
+}
--- /dev/null
+++ b/src/start_delays/tests.rs
@@ -0,0 +1,99 @@
+use super::*;
+use test_case::test_case;
+
+const MS: Nanos = 1_000_000;
+const RARITY: f64 = 1.0;
+
+/// Sends attempt `request` at `at` ms: it has 100 ms to spare, of which nothing is expected to be spent.
+fn send(delays: &mut StartDelays, request: TxnId, at: Nanos) -> AttemptId {
+    let id = AttemptId { request, number: 0 };
+    delays.sent(Sent { id, at: at * MS, expected: 0.0, time_to_spare: 1e8, run: 1e7 });
+    id
+}
+
+fn send_all(delays: &mut StartDelays, requests: std::ops::Range<TxnId>, at: Nanos) {
+    for request in requests {
+        send(delays, request, at);
+    }
+}
+
+/// Guards against queues that are noticed only once they have been worked off.
+#[test]
+fn attempts_that_wait_raise_the_estimate_before_any_has_started() {
+    let mut delays = StartDelays::default();
+    send_all(&mut delays, 0..5, 0);
+    assert_eq!(delays.congestion(0, RARITY), Congestion::default());
+    let soon = delays.congestion(50 * MS, RARITY);
+    assert!((0.3..0.4).contains(&soon.delay) && soon.late == 0.0, "{soon:?}");
+    let later = delays.congestion(200 * MS, RARITY);
+    assert!(later.delay > 0.9 && (0.2..0.3).contains(&later.late), "{later:?}");
+}
+
+/// Guards against an estimate that falls the more is sent: an attempt that was just sent has shown no short wait.
+#[test]
+fn attempts_just_sent_do_not_lower_the_estimate() {
+    let mut delays = StartDelays::default();
+    send_all(&mut delays, 0..5, 0);
+    let before = delays.congestion(200 * MS, RARITY);
+    send_all(&mut delays, 5..10, 200);
+    assert_eq!(delays.congestion(200 * MS, RARITY), before);
+}
+
+/// Guards against a hung worker taken for a jam of the whole fleet.
+#[test]
+fn an_attempt_that_hangs_tells_little_once_later_ones_have_started() {
+    let mut delays = StartDelays::default();
+    send_all(&mut delays, 0..3, 0);
+    for request in 3..18 {
+        let id = send(&mut delays, request, 10);
+        delays.started(id, 11 * MS);
+    }
+    let estimate = delays.congestion(1_000 * MS, RARITY);
+    assert!(estimate.delay < 0.05 && estimate.late < 0.1, "{estimate:?}");
+}
+
+/// Guards against a fleet taken for jammed as some of its workers are full: that cost half as many requests again in the planned
+/// world of odd workers.
+#[test]
+fn attempts_that_end_before_they_start_are_forgotten() {
+    let mut delays = StartDelays::default();
+    let id = send(&mut delays, 1, 0);
+    assert!(delays.congestion(200 * MS, RARITY).delay > 0.0);
+    delays.ended(id);
+    assert_eq!(delays.congestion(200 * MS, RARITY), Congestion::default());
+}
+
+/// Guards against turning all away for ever, and against forgetting from one rare start to the next.
+#[test_case(1.0 => true; "where many are seen")]
+#[test_case(3.0 => false; "where few are")]
+fn starts_are_forgotten_in_two_seconds(rarity: f64) -> bool {
+    let mut delays = StartDelays::default();
+    for request in 0..40 {
+        let id = send(&mut delays, request, 0);
+        delays.started(id, 100 * MS);
+    }
+    delays.congestion(2_200 * MS, rarity).delay < 0.25
+}
+
+/// Guards against late starts that no queue has caused, as at a worker too slow for the request.
+#[test]
+fn what_an_idle_worker_makes_late_counts_as_in_time() {
+    let mut delays = StartDelays::default();
+    let id = AttemptId { request: 1, number: 0 };
+    delays.sent(Sent { id, at: 0, expected: 0.0, time_to_spare: -1.0, run: 1e8 });
+    delays.started(id, 10 * MS);
+    assert_eq!(delays.congestion(10 * MS, RARITY).late, 0.0);
+}
+
+/// Guards against memory that grows with the attempts, and against an attempt told of twice.
+#[test]
+fn only_the_latest_attempts_are_kept_and_each_counts_once() {
+    let mut delays = StartDelays::default();
+    send_all(&mut delays, 0..1_000, 0);
+    assert_eq!(delays.attempts.len(), KEPT);
+    let id = AttemptId { request: 999, number: 0 };
+    delays.started(id, MS);
+    let before = delays.congestion(MS, RARITY);
+    delays.ended(id);
+    assert_eq!(delays.congestion(MS, RARITY), before);
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,5 +1,6 @@
 //! What the decisions remember, as plain data. None of it crosses the interface and nothing is decided here.
 use crate::pcg::Pcg;
+use crate::start_delays::StartDelays;
 use crate::types::{Nanos, Share, Standing, Txn, TxnId, WorkerId};
 use crate::zones::ZoneDelays;
 use rustc_hash::FxHashMap;
@@ -528,11 +529,9 @@
     pub(crate) rare: f64,
     /// The work of a mean job of late.
     pub(crate) mean: f64,
-    /// The start delay of late, over all workers.
-    pub(crate) lag: f64,
-    pub(crate) lag_at: Nanos,
+    /// How late attempts start of late, over all workers.
+    pub(crate) start_delays: StartDelays,
     pub(crate) others: f64,
-    pub(crate) late: f64,
     /// The part of the dearest txns turned away, of the last seven to twenty.
     pub(crate) turned: f64,
     /// Figures in reports that cannot be, since the log was told.
@@ -585,7 +584,6 @@
             list_asked: pick::<String>(map, "list.mode")? == "asked",
             shares,
             first_come: pick_or::<String>(map, "queue.order", "fifo".to_string())? == "fifo",
-            lag_at: now,
             rare: 1.0,
             zones: ZoneDelays::new(pick_or(map, "zone", 0)?),
             ..Dispatcher::default()
