A class that can wait leaves room for those that cannot, as far as they are worth as much

In overload kept() held a class to its own time to spare and to that of classes dearer than it. Where settings reckon worth by request, a long request also counted as dearer than a short one that brings more for the same work.

Worth goes by what the settings reckon by (value.by, read and not used before). So overload costs the cheap more than the dear, and none stands behind a queue that only one class can bear.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -29,6 +29,9 @@
 /// What passing over all lanes costs where most share a worker, in mean waits: one of eight costs a fifth.
 const LANES_APART: f64 = 1.6;
 
+/// No request is kept that would wait for so many times its time to spare: a class in this state loses no more by longer waits.
+const HOPELESS: f64 = 1.5;
+
 const ALL: &[Effect] = &[Idempotent, Keyed, NonIdempotent];
 
 /// States, input, for which effects, next state, effect. What is not listed changes nothing.
@@ -552,26 +555,35 @@
         }
     }
 
-    /// Overload: a txn with too little of its room left after waiting is turned away by chance, the cheaper
+    /// Overload: a request with too little of its room left after waiting is turned away by chance, the cheaper
     /// ones more often, and sooner the more of the last seven to twenty started too late. Guards against a
     /// jam that keeps itself up, and, waits being guesses, against declines while all goes well.
     fn kept(&mut self, now: Nanos, key: usize, wait: f64, strain: f64) -> bool {
-        let value = self.schemes[usize::from(self.txns[key].txn.scheme)].value.max(1e-9);
-        let most = self.schemes.iter().map(|scheme| scheme.value).fold(0.0, f64::max);
+        let class = usize::from(self.txns[key].txn.scheme);
+        let worth = self.schemes[class].worth(self.worth_basis);
+        let most = self.schemes.iter().map(|class| class.worth(self.worth_basis)).fold(0.0, f64::max);
         let late = self.start_delays.congestion(now, self.rare).late;
-        // As far as txns of the highest value are turned away, a cheaper one's wait counts over the least
-        // room of those dearer. Guards against queues that only long rooms can bear.
-        let room = |s: &Scheme| s.sla + (s.stretch - 1.0).max(0.0) * s.mean();
-        let least = self.schemes.iter().filter(|s| s.value > value).map(room).fold(f64::INFINITY, f64::min);
-        let strain = strain + self.turned * (wait / least - strain).max(0.0);
+        let strain = strain + self.turned * self.pressure(class, wait, strain);
         let fits = (3.0 - 2.0 * strain * (1.0 + 3.0 * late)).clamp(0.0, 1.0);
-        let kept = fits >= 1.0 || self.chance.unit() < fits.powf(most / value);
-        if value >= most {
+        let kept = fits >= 1.0 || self.chance.unit() < fits.powf(most / worth);
+        if worth >= most {
             self.turned += 0.05 * self.rare * (f64::from(!kept) - self.turned);
         }
         kept
     }
 
+    /// How much more a wait strains another class than the one that would add to it, as far as the other is worth
+    /// as much. Guards against queues that only the class with the longest time to spare can bear: it alone was served.
+    fn pressure(&self, class: usize, wait: f64, strain: f64) -> f64 {
+        let worth = self.schemes[class].worth(self.worth_basis);
+        let others = self.schemes.iter().enumerate().filter(|(at, other)| *at != class && other.seen > 0.0);
+        let strains = others.map(|(_, other)| {
+            let part = (other.worth(self.worth_basis) / worth).min(1.0);
+            part * ((wait / other.usual_room()).min(HOPELESS) - strain)
+        });
+        strains.fold(0.0, f64::max)
+    }
+
     fn post(&mut self, now: Nanos, key: usize, at: usize, cost: f64, acts: &mut Vec<Action>) {
         let tells_start = self.says("tells_start") > 0.0;
         let chosen = &self.workers[at];
--- a/src/policy/tests.rs
+++ b/src/policy/tests.rs
@@ -1086,3 +1086,45 @@
     let sent = (0..16).filter(sent).count();
     (2..=5).contains(&sent)
 }
+
+/// Two classes of like worth: one wanted within 0.3 s, one within 3 s, of which the first is seen.
+fn short_beside_long(basis: &str, short_value: f64) -> Dispatcher {
+    let mut map = settings();
+    let value = short_value.to_string();
+    for (name, value) in [("scheme.2.sla", "3e9"), ("scheme.0.value", value.as_str()), ("value.by", basis)] {
+        map.insert(name.into(), value.into());
+    }
+    let mut d = Dispatcher::start(0, 7, &map).unwrap();
+    d.schemes[0].add(1e8);
+    d.schemes[2].add(1e9);
+    d
+}
+
+/// How many of 100 requests of a class are kept that would wait for 0.8 s where all of the dearest are turned away.
+fn kept_of_100(mut d: Dispatcher, class: u8) -> usize {
+    let room = if class == 2 { 4e9 } else { 4e8 };
+    let hand = InHand::new(txn(1, class, MS, 0), Idempotent, 1.0, 1.0, 1.0, 0);
+    let key = d.txns.insert(hand);
+    let kept = |_: &usize| {
+        d.turned = 1.0;
+        d.kept(0, key, 0.8e9, 0.8e9 / room)
+    };
+    (0..100).filter(kept).count()
+}
+
+/// Guards against the class with the longest time to spare as the only one that is served: its requests were kept while the
+/// queue was longer than any other class can bear, in bursts of a whole fleet for ten seconds on end.
+#[test_case(8.0 => true; "as dear: held back")]
+#[test_case(0.1 => false; "of next to no worth: not for its sake")]
+fn a_class_that_can_wait_leaves_room_for_one_that_cannot(short_value: f64) -> bool {
+    kept_of_100(short_beside_long("work", short_value), 2) < 60
+}
+
+/// Guards against long requests taken for dearer than short ones that bring more for the same work.
+#[test_case("work", 1.0 => 9.0; "each unit of work counts the same")]
+#[test_case("request", 1.0 => 0.9; "ten times the work for one request")]
+fn worth_goes_by_what_the_settings_reckon_by(basis: &str, short_value: f64) -> f64 {
+    let d = short_beside_long(basis, short_value);
+    let ratio = d.schemes[2].worth(d.worth_basis) / d.schemes[0].worth(d.worth_basis);
+    (ratio * 1e6).round() / 1e6
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -41,6 +41,27 @@
     NonIdempotent,
 }
 
+/// By what the settings reckon the worth of requests.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum WorthBasis {
+    /// Each unit of work of a class is worth the same.
+    #[default]
+    Work,
+    /// Each request of a class is worth the same, however much work it is.
+    Request,
+}
+
+impl WorthBasis {
+    /// Reads the setting; without it, worth goes by work.
+    fn read(map: &Map) -> Result<Self, String> {
+        match pick_or(map, "value.by", "work".to_string())?.as_str() {
+            "work" => Ok(WorthBasis::Work),
+            "request" => Ok(WorthBasis::Request),
+            other => Err(format!("setting value.by cannot be read: {other:?}")),
+        }
+    }
+}
+
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Stage {
     /// Nothing out, and nothing that forbids a decline.
@@ -428,6 +449,21 @@
         }
     }
 
+    /// What a request is worth for each unit that the settings reckon by: per unit of work, a short one of the same value is
+    /// worth more, as it takes less of the capacity.
+    pub fn worth(&self, basis: WorthBasis) -> f64 {
+        let value = self.value.max(1e-9);
+        match basis {
+            WorthBasis::Work => value,
+            WorthBasis::Request => value / self.mean().max(1.0),
+        }
+    }
+
+    /// How long a request of mean work may wait and still be in time.
+    pub fn usual_room(&self) -> f64 {
+        (self.sla + (self.stretch - 1.0).max(0.0) * self.mean()).max(1.0)
+    }
+
     /// The mean work of late.
     pub fn mean(&self) -> f64 {
         if self.seen > 0.0 { self.bins.iter().sum::<f64>() / self.seen } else { self.ran.0 }
@@ -531,6 +567,7 @@
     pub(crate) mean: f64,
     /// How late attempts start of late, over all workers.
     pub(crate) start_delays: StartDelays,
+    pub(crate) worth_basis: WorthBasis,
     pub(crate) others: f64,
     /// The part of the dearest txns turned away, of the last seven to twenty.
     pub(crate) turned: f64,
@@ -584,6 +621,7 @@
             list_asked: pick::<String>(map, "list.mode")? == "asked",
             shares,
             first_come: pick_or::<String>(map, "queue.order", "fifo".to_string())? == "fifo",
+            worth_basis: WorthBasis::read(map)?,
             rare: 1.0,
             zones: ZoneDelays::new(pick_or(map, "zone", 0)?),
             ..Dispatcher::default()
