--- a/src/start_delays.rs
+++ b/src/start_delays.rs
@@ -8,7 +8,7 @@
 use std::collections::VecDeque;
 
 /// The newest attempt weighs a fifth of all. In a large fleet a dispatcher sends one to five a second, and a burst fills
-/// all queues within one to two seconds; a tenth was too slow there, and no better anywhere else.
+/// all queues within one to two seconds; a tenth was too slow there, though as good or slightly better on calm days.
 const NEWEST: f64 = 0.2;
 /// The newest weighs so much of all in the part that started too late, for each unit of rarity: seven to twenty attempts tell.
 const NEWEST_LATE: f64 = 0.05;
