--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,3 @@
+#!/bin/sh
+# The stand-ins are scripts for Python's standard library: nothing is built.
+exit 0
