--- a/review/standin.py
+++ b/review/standin.py
@@ -30,11 +30,13 @@
 
     def __init__(self, folder):
         self.started = time.monotonic()
-        self.lock = threading.Lock()
+        self.lock, self.ended = threading.Lock(), False
         self.file = open(os.path.join(folder, "record.txt"), "w", encoding="utf-8")
 
     def __call__(self, text):
         with self.lock:
+            if self.ended:
+                return
             self.file.write(f"{time.monotonic() - self.started:9.4f} {text}\n")
             self.file.flush()
 
@@ -468,10 +470,12 @@
                     daemon.kill()
         for line in broken:
             record(f"BROKEN: {line}")
-        record("verdict: " + ("the rule was broken" if broken else "the rule held"))
         code = 1 if broken else 0
+        verdict = "verdict: the rule was broken" if broken else "verdict: the rule held"
     except BaseException as error:  # whatever it is, the case did not run
-        record(f"could not run: {type(error).__name__}: {error}")
-    print(open(record.file.name, encoding="utf-8").read().splitlines()[-1])
+        verdict = f"could not run: {type(error).__name__}: {error}"
+    record(verdict)
+    record.ended = True
+    print(verdict)
     sys.stdout.flush()
     os._exit(code)
