--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -260,9 +260,11 @@
 
     fn apply_action(&mut self, now: Nanos, action: Action, effects: &mut Vec<Effect>) {
         match action {
-            Action::SendAttempt { request_id, worker } => {
-                self.send_attempt(now, request_id, worker, effects);
-            }
+            Action::SendAttempt {
+                request_id,
+                worker,
+                send_by,
+            } => self.send_attempt(now, request_id, worker, send_by, effects),
             Action::CheckHealth { worker } => self.check_health(worker, effects),
             Action::Reject {
                 request_id,
--- a/crates/engine/src/engine/attempts.rs
+++ b/crates/engine/src/engine/attempts.rs
@@ -8,7 +8,7 @@
     AttemptEnded, Event, HealthChecked, Nanos, Outcome, Report, RequestId, WorkerId,
 };
 use rosewall_protocol::client::Answer;
-use rosewall_protocol::worker::{self, AttemptProgress};
+use rosewall_protocol::worker::{AttemptProgress, EncodedRequest};
 
 impl Engine {
     /// Sends the next attempt of a request. Ends it at once as [`Outcome::NotSent`] if it cannot be
@@ -18,6 +18,7 @@
         now: Nanos,
         request_id: RequestId,
         worker: WorkerId,
+        send_by: Nanos,
         effects: &mut Vec<Effect>,
     ) {
         let Some(active) = self.requests.get_mut(request_id) else {
@@ -45,7 +46,9 @@
             worker,
             address,
             id: active.request.id.clone(),
-            message: worker::encode_request(host, &active.request, remaining),
+            message: EncodedRequest::new(host, &active.request, remaining),
+            deadline: active.deadline,
+            send_by,
             // At most half of the remaining time, so that a retry is possible if this worker is
             // unreachable.
             connect_timeout: self.connect_timeout.min(remaining / 2),
--- a/crates/engine/src/engine/deadlines.rs
+++ b/crates/engine/src/engine/deadlines.rs
@@ -79,12 +79,13 @@
     }
 
     /// Caps the deadlines of all requests at `by`, the time by which the program must have answered
-    /// them.
+    /// them, and the send deadlines of their attempts.
     pub(super) fn shut_down(&mut self, now: Nanos, by: Nanos, effects: &mut Vec<Effect>) {
         self.shutdown_deadline = Some(by);
         for active in self.requests.iter_mut() {
             if active.deadline > by {
                 active.deadline = by;
+                active.advance_send_deadlines(by, effects);
                 self.timers.set(by, Timer::Deadline(active.request_id));
             }
         }
--- a/crates/engine/src/engine/interface.rs
+++ b/crates/engine/src/engine/interface.rs
@@ -2,7 +2,7 @@
 use rosewall::types::{FleetPosition, HealthChecked, Nanos, PeerLoad, RequestId, WorkerId};
 use rosewall_protocol::client::{Answer, ClientRequest};
 use rosewall_protocol::discovery::EndpointList;
-use rosewall_protocol::worker::AttemptProgress;
+use rosewall_protocol::worker::{AttemptProgress, EncodedRequest};
 use std::net::SocketAddr;
 
 /// Event from outside the engine.
@@ -68,8 +68,13 @@
     pub address: SocketAddr,
     /// Request id chosen by the client; the worker repeats it in its answer.
     pub id: String,
-    /// Encoded HTTP request to write.
-    pub message: Vec<u8>,
+    /// Encoded HTTP request. Its time-out must be set again when it is written.
+    pub message: EncodedRequest,
+    /// Deadline of the request, until which the worker's answer is waited for.
+    pub deadline: Nanos,
+    /// Time by which the last byte must be written. Later the attempt must end as
+    /// [`NotSent`](rosewall::types::Outcome::NotSent) instead.
+    pub send_by: Nanos,
     /// Longest time that opening a new connection may take.
     pub connect_timeout: Nanos,
 }
@@ -86,14 +91,23 @@
     },
     /// Send an attempt to a worker.
     SendAttempt(OutboundAttempt),
-    /// Cancel an attempt unless its last byte was written. Its client has disconnected, or its
-    /// worker was replaced or is not ready.
+    /// Cancel an attempt at once unless its last byte was written. Its client has disconnected, or
+    /// its worker was replaced or is not ready.
     CancelUnsent {
         /// Request that the attempt belongs to.
         request_id: RequestId,
         /// Index of the attempt within the request, from 0.
         attempt_index: u8,
     },
+    /// Advance the time by which an attempt must be sent.
+    AdvanceSendDeadline {
+        /// Request that the attempt belongs to.
+        request_id: RequestId,
+        /// Index of the attempt within the request, from 0.
+        attempt_index: u8,
+        /// Time by which the last byte must be written, unless an earlier one was given.
+        send_by: Nanos,
+    },
     /// Abort an attempt and close its connection.
     Abort {
         /// Request that the attempt belongs to.
--- a/crates/engine/src/engine/requests.rs
+++ b/crates/engine/src/engine/requests.rs
@@ -74,6 +74,19 @@
         }
     }
 
+    /// Advances the send deadlines of the attempts in flight.
+    pub(super) fn advance_send_deadlines(&self, send_by: Nanos, effects: &mut Vec<Effect>) {
+        for (attempt_index, worker) in self.attempts.iter().enumerate() {
+            if worker.is_some() {
+                effects.push(Effect::AdvanceSendDeadline {
+                    request_id: self.request_id,
+                    attempt_index: attempt_index as u8,
+                    send_by,
+                });
+            }
+        }
+    }
+
     fn is_complete(&self) -> bool {
         !self.answer_pending && self.attempts.iter().all(Option::is_none)
     }
--- a/crates/protocol/src/worker/attempt.rs
+++ b/crates/protocol/src/worker/attempt.rs
@@ -1,11 +1,10 @@
-//! One attempt: encodes its request and reads the answer, which the worker streams line by line.
-use crate::client::ClientRequest;
+//! Reads the answer to one attempt, which the worker streams line by line.
 use crate::http::{
     BodyReader, HttpError, MAX_BODY_BYTES, ReadBuffer, ResponseHead, UnframedBody,
     parse_response_head, single_value,
 };
 use crate::wire::{attempt_state, header, value};
-use rosewall::types::{Nanos, Outcome};
+use rosewall::types::Outcome;
 use serde::Deserialize;
 
 /// Maximum size of an answer in bytes, all of its lines together.
@@ -22,34 +21,6 @@
     Ended(Outcome),
 }
 
-/// Encodes the request of an attempt. The idempotency key is forwarded unchanged, as workers
-/// recognise repeats by it.
-pub fn encode_request(host: &str, request: &ClientRequest, timeout: Nanos) -> Vec<u8> {
-    let seconds = timeout as f64 / 1e9;
-    let idempotency_line = if request.idempotency_key.is_empty() {
-        String::new()
-    } else {
-        format!(
-            "{}: {}\r\n",
-            header::IDEMPOTENCY_KEY,
-            request.idempotency_key
-        )
-    };
-    let mut bytes = format!(
-        "POST {target} HTTP/1.1\r\nHost: {host}\r\n{id_name}: {id}\r\n{timeout_name}: {seconds:.3}\r\n\
-         {idempotency_line}{length_name}: {length}\r\n\r\n",
-        target = request.target,
-        id_name = header::REQUEST_ID,
-        id = request.id,
-        timeout_name = header::REQUEST_TIMEOUT,
-        length_name = header::CONTENT_LENGTH,
-        length = request.body.len(),
-    )
-    .into_bytes();
-    bytes.extend_from_slice(&request.body);
-    bytes
-}
-
 /// One line of an answer. Other fields are ignored.
 #[derive(Deserialize)]
 struct Line {
--- a/crates/rosewalld/tests/daemon/main.rs
+++ b/crates/rosewalld/tests/daemon/main.rs
@@ -6,6 +6,7 @@
 mod invalid_requests;
 mod limits;
 mod rolling_upgrade;
+mod send_deadline;
 mod shutdown;
 
 use rosewall_cluster_testbed::stubs::{
--- a/crates/runtime/src/engine.rs
+++ b/crates/runtime/src/engine.rs
@@ -3,16 +3,16 @@
 use crate::context::Context;
 use crate::event::EngineEvent;
 use crate::traits::Runtime;
-use crate::worker::{AttemptConnection, check_health, send_attempt};
+use crate::worker::{AttemptConnection, SendPermit, check_health, send_attempt};
 use async_channel::{Receiver, Sender};
 use async_executor::Task;
 use futures_lite::FutureExt;
+use futures_lite::future::yield_now;
 use rosewall::types::{Nanos, PeerLoad, RequestId};
 use rosewall_engine::engine::{Effect, Engine, Input, OutboundAttempt};
 use rosewall_protocol::client::Answer;
 use rosewall_protocol::discovery::EndpointList;
 use rustc_hash::FxHashMap;
-use std::cell::Cell;
 use std::rc::Rc;
 
 /// Identifies an attempt.
@@ -22,11 +22,19 @@
     attempt_index: u8,
 }
 
+impl AttemptKey {
+    fn new(request_id: RequestId, attempt_index: u8) -> Self {
+        AttemptKey {
+            request_id,
+            attempt_index,
+        }
+    }
+}
+
 /// An attempt in progress. Dropping it closes its connection.
 struct RunningAttempt {
     task: Task<()>,
-    /// Set when the attempt must not be sent any more.
-    cancelled: Rc<Cell<bool>>,
+    permit: Rc<SendPermit>,
 }
 
 /// Owner of the engine and of the state that the engine's effects change.
@@ -96,8 +104,11 @@
             };
             let event = async { self.events.recv().await.ok() };
             let event = event.or(timer).await;
-            if let Some(event) = event {
-                self.handle(event);
+            match event {
+                Some(event) => self.handle(event),
+                // Tasks whose time limit ends at the same moment report first: an attempt that was
+                // not sent by its deadline must not count as one that the worker did not answer.
+                None => yield_now().await,
             }
         }
     }
@@ -188,24 +199,23 @@
             Effect::CancelUnsent {
                 request_id,
                 attempt_index,
-            } => self.cancel_attempt(AttemptKey {
+            } => self.cancel_attempt(AttemptKey::new(request_id, attempt_index)),
+            Effect::AdvanceSendDeadline {
                 request_id,
                 attempt_index,
-            }),
+                send_by,
+            } => {
+                let key = AttemptKey::new(request_id, attempt_index);
+                self.advance_send_deadline(key, send_by);
+            }
             Effect::Abort {
                 request_id,
                 attempt_index,
-            } => self.abort_attempt(AttemptKey {
-                request_id,
-                attempt_index,
-            }),
+            } => self.abort_attempt(AttemptKey::new(request_id, attempt_index)),
             Effect::Finished {
                 request_id,
                 attempt_index,
-            } => self.detach_attempt(AttemptKey {
-                request_id,
-                attempt_index,
-            }),
+            } => self.detach_attempt(AttemptKey::new(request_id, attempt_index)),
             Effect::CheckHealth {
                 worker,
                 address,
@@ -251,26 +261,28 @@
         } else {
             context.counters.attempts_on_new_connection.add();
         }
-        let key = AttemptKey {
-            request_id: attempt.request_id,
-            attempt_index: attempt.attempt_index,
-        };
-        let cancelled = Rc::new(Cell::new(false));
+        let key = AttemptKey::new(attempt.request_id, attempt.attempt_index);
+        let permit = Rc::new(SendPermit::new(attempt.send_by));
         let connection = AttemptConnection {
             pooled,
-            cancelled: cancelled.clone(),
+            permit: permit.clone(),
         };
         let task = context
             .runtime
             .spawn(send_attempt(context.clone(), attempt, connection));
-        self.attempts
-            .insert(key, RunningAttempt { task, cancelled });
+        self.attempts.insert(key, RunningAttempt { task, permit });
     }
 
     /// Prevents the sending of an attempt whose last byte has not been written yet.
     fn cancel_attempt(&self, key: AttemptKey) {
         if let Some(attempt) = self.attempts.get(&key) {
-            attempt.cancelled.set(true);
+            attempt.permit.revoke();
+        }
+    }
+
+    fn advance_send_deadline(&self, key: AttemptKey, send_by: Nanos) {
+        if let Some(attempt) = self.attempts.get(&key) {
+            attempt.permit.advance(send_by);
         }
     }
 
--- a/crates/runtime/src/worker/attempt.rs
+++ b/crates/runtime/src/worker/attempt.rs
@@ -1,18 +1,22 @@
 //! One attempt: sends its request and reads the worker's answer.
 use super::connect::connect;
+use super::send_permit::{SendError, SendPermit, while_permitted};
 use crate::context::{Context, WorkerConnection};
 use crate::event::EngineEvent;
-use crate::traits::{Readiness, Runtime, Stream, nanos, sleep, with_timeout};
+use crate::traits::{Readiness, Runtime, Stream, nanos, sleep};
 use futures_lite::future::yield_now;
-use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
+use futures_lite::{AsyncReadExt, AsyncWrite, AsyncWriteExt, FutureExt};
 use rosewall::mutation::{Mutation, is_active};
 use rosewall::types::{Nanos, Outcome};
 use rosewall_engine::engine::OutboundAttempt;
 use rosewall_engine::pool::{IdleConnection, REUSE_DELAY};
-use rosewall_protocol::worker::{AttemptProgress, AttemptResponseReader};
-use std::cell::Cell;
+use rosewall_protocol::worker::{AttemptProgress, AttemptResponseReader, EncodedRequest};
+use std::future::poll_fn;
+use std::io;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::rc::Rc;
+use std::task::{Poll, ready};
 use std::time::Duration;
 
 /// Time limit for the end of an answer after its last line. The connection is reused only if the
@@ -21,16 +25,20 @@
 /// Time that the last byte of a request is delayed to wait for a reset: two round trips inside one
 /// data centre, and the scheduling delays of both sides.
 const RESET_WAIT: Duration = Duration::from_millis(2);
+/// Time after which the time-out that a request states is out of date, less than the 150 ms by which
+/// a worker may be told more than is left.
+const MAX_TIMEOUT_AGE: Duration = Duration::from_millis(100);
+/// Time by which the stated time-out is reduced after a slow write, so that it holds for another one.
+const SLOW_WRITE_ALLOWANCE: Duration = Duration::from_millis(200);
 /// Size of one read.
 const READ_BUFFER_BYTES: usize = 8 * 1024;
 
-/// Connection for an attempt, and the cancellation flag of the attempt.
+/// Connection for an attempt, and the permission to send it.
 pub struct AttemptConnection<S> {
     /// Connection from the pool; `None` if a new one must be opened.
     pub pooled: Option<IdleConnection<WorkerConnection<S>>>,
-    /// Set when the attempt must not be sent any more. Without effect once the last byte was
-    /// written.
-    pub cancelled: Rc<Cell<bool>>,
+    /// Permission to write the request to its last byte.
+    pub permit: Rc<SendPermit>,
 }
 
 /// Connection that a request was completely written to.
@@ -40,25 +48,47 @@
     idle_since: Option<Nanos>,
 }
 
-/// Encoded request that can be cancelled until its last byte is written.
-struct CancellableRequest<'a> {
-    bytes: &'a [u8],
-    cancelled: &'a Cell<bool>,
+/// Request that is not written to its last byte.
+struct UnsentRequest<'a> {
+    message: EncodedRequest,
+    /// Deadline of the request.
+    deadline: Nanos,
+    /// Time at which the time-out in the message was set.
+    timeout_set_at: Nanos,
+    /// Time by which the time-out in the message is less than the time left, for a slow write.
+    write_allowance: Duration,
+    permit: &'a SendPermit,
+    /// Time limit for each step up to the last byte.
+    step_timeout: Duration,
 }
 
-impl CancellableRequest<'_> {
-    /// Returns the outcome of a request whose last byte was not written.
-    fn unsent_outcome(&self) -> Outcome {
-        if self.cancelled.get() {
-            Outcome::NotSent
-        } else {
-            Outcome::ConnectFailed
+impl UnsentRequest<'_> {
+    /// Sets the time-out that the message states to the time left.
+    fn update_timeout(&mut self, now: Nanos) {
+        if is_active(Mutation::StateOutdatedTimeout) {
+            self.timeout_set_at = Nanos::MAX;
+            return;
         }
+        self.timeout_set_at = now;
+        let stated_end = self.deadline.saturating_sub(nanos(self.write_allowance));
+        self.message.set_timeout(stated_end.saturating_sub(now));
+    }
+
+    /// Checks that the next byte may be written now.
+    fn check(&self, now: Nanos) -> Result<(), SendError> {
+        if !self.permit.holds(now) {
+            return Err(SendError::NotPermitted);
+        }
+        let max_age = nanos(MAX_TIMEOUT_AGE + self.write_allowance);
+        if now.saturating_sub(self.timeout_set_at) > max_age {
+            return Err(SendError::StaleTimeout);
+        }
+        Ok(())
     }
 }
 
-/// Runs one attempt, unless it is cancelled before its last byte is written. The end is reported
-/// once.
+/// Runs one attempt, unless it may no longer be sent before its last byte is written. The end is
+/// reported once.
 pub async fn send_attempt<R: Runtime>(
     context: Rc<Context<R>>,
     attempt: OutboundAttempt,
@@ -71,7 +101,9 @@
         address,
         id,
         message,
+        deadline,
         connect_timeout,
+        ..
     } = attempt;
     let report = |progress| {
         context.report(EngineEvent::AttemptProgress {
@@ -80,17 +112,19 @@
             progress,
         })
     };
-    let AttemptConnection { pooled, cancelled } = connection;
-    let request = CancellableRequest {
-        bytes: &message,
-        cancelled: &cancelled,
+    let AttemptConnection { pooled, permit } = connection;
+    let request = UnsentRequest {
+        message,
+        deadline,
+        timeout_set_at: 0,
+        write_allowance: Duration::ZERO,
+        permit: &permit,
+        step_timeout: Duration::from_nanos(connect_timeout),
     };
-    let connect_timeout = Duration::from_nanos(connect_timeout);
-    let sent = match send(&context, pooled, address, connect_timeout, &request).await {
+    let sent = match send(&context, pooled, address, request).await {
         Ok(sent) => sent,
         Err(outcome) => return report(AttemptProgress::Ended(outcome)),
     };
-    drop(message);
     let reader = AttemptResponseReader::new(id);
     if let Some(connection) = read_answer(&context, sent, reader, report).await {
         context.report(EngineEvent::ConnectionIdle { worker, connection });
@@ -98,14 +132,14 @@
 }
 
 /// Sends a request over the pooled connection, or over a new one if there is none or the pooled one
-/// has failed. A request whose last byte was not written did not run. After that byte, nothing is
+/// has failed. After a slow write, it is written once more over a new connection, with less time
+/// stated. A request whose last byte was not written did not run. After that byte, nothing is
 /// sent again here.
 async fn send<R: Runtime>(
     context: &Context<R>,
     pooled: Option<IdleConnection<WorkerConnection<R::Stream>>>,
     address: SocketAddr,
-    limit: Duration,
-    request: &CancellableRequest<'_>,
+    mut request: UnsentRequest<'_>,
 ) -> Result<SentAttempt<R::Stream>, Outcome> {
     let runtime = &context.runtime;
     if let Some(pooled) = pooled {
@@ -113,61 +147,75 @@
             mut connection,
             idle_since,
         } = pooled;
-        let write = async {
-            Ok(write_request(runtime, &mut connection.stream, request, Some(idle_since)).await)
-        };
-        // If the connection accepts no bytes within the limit, the attempt ends as well: when an
-        // unreachable host returns, the endpoint list may no longer permit requests to it.
-        match with_timeout(runtime, limit, write).await {
-            Ok(true) => {
+        let stream = &mut connection.stream;
+        match write_request(runtime, stream, &mut request, Some(idle_since)).await {
+            Ok(()) => {
                 return Ok(SentAttempt {
                     connection,
                     idle_since: Some(idle_since),
                 });
             }
-            Ok(false) => {}
-            Err(_) => return Err(request.unsent_outcome()),
-        }
-        if request.cancelled.get() {
-            return Err(Outcome::NotSent);
-        }
-        // Counts against the lifetime of idle connections and not against the worker: the request
-        // was not sent yet.
-        if connection.stream.readiness() == Readiness::Closed {
-            context.record_broken_connection(idle_since);
+            // Counts against the lifetime of idle connections and not against the worker: the
+            // request was not sent yet.
+            Err(SendError::Connection(_)) => {
+                if connection.stream.readiness() == Readiness::Closed {
+                    context.record_broken_connection(idle_since);
+                }
+            }
+            Err(SendError::StaleTimeout) => request.write_allowance = SLOW_WRITE_ALLOWANCE,
+            // If the connection accepts no bytes within the limit, the attempt ends as well: when
+            // an unreachable host returns, the endpoint list may no longer permit requests to it.
+            Err(error) => return Err(error.outcome()),
         }
     }
-    let mut connection = connect(context, address, limit).await?;
-    let write = async {
-        let cancelled = request.cancelled.get();
-        Ok(!cancelled && write_request(runtime, &mut connection.stream, request, None).await)
-    };
-    if with_timeout(runtime, limit, write).await.unwrap_or(false) {
-        return Ok(SentAttempt {
-            connection,
-            idle_since: None,
-        });
+    loop {
+        let limit = request.step_timeout;
+        let mut connection = connect(context, address, limit, request.permit).await?;
+        match write_request(runtime, &mut connection.stream, &mut request, None).await {
+            Ok(()) => {
+                return Ok(SentAttempt {
+                    connection,
+                    idle_since: None,
+                });
+            }
+            Err(SendError::StaleTimeout) if request.write_allowance.is_zero() => {
+                request.write_allowance = SLOW_WRITE_ALLOWANCE;
+            }
+            Err(error) => return Err(error.outcome()),
+        }
     }
-    Err(request.unsent_outcome())
 }
 
-/// Writes a request. Returns false if the connection failed or the attempt was cancelled before the
-/// last byte, so that the request did not run.
+/// Writes a request with the time that is left now.
+///
+/// # Errors
+/// Returns an error if the last byte was not written, so that the request did not run.
+async fn write_request<R: Runtime>(
+    runtime: &R,
+    stream: &mut R::Stream,
+    request: &mut UnsentRequest<'_>,
+    idle_since: Option<Nanos>,
+) -> Result<(), SendError> {
+    request.update_timeout(runtime.now());
+    let write = write_bytes(runtime, stream, request, idle_since);
+    while_permitted(runtime, request.permit, request.step_timeout, write).await
+}
+
+/// Writes the bytes of a request.
 ///
 /// The last byte is delayed until the worker could have answered the other bytes with a reset, as
 /// it does on a connection that it closed while it was idle.
-async fn write_request<R: Runtime>(
+async fn write_bytes<R: Runtime>(
     runtime: &R,
     stream: &mut R::Stream,
-    request: &CancellableRequest<'_>,
+    request: &UnsentRequest<'_>,
     idle_since: Option<Nanos>,
-) -> bool {
-    let Some((last, first_bytes)) = request.bytes.split_last() else {
-        return false;
+) -> Result<(), SendError> {
+    let Some((last, first_bytes)) = request.message.bytes().split_last() else {
+        return Err(io::Error::from(io::ErrorKind::InvalidInput).into());
     };
-    if stream.write_all(first_bytes).await.is_err() {
-        return false;
-    }
+    request.check(runtime.now())?;
+    stream.write_all(first_bytes).await?;
     let became_readable = async { stream.readable().await.is_ok() };
     let wait_elapsed = async {
         let remaining_delay = idle_since.map_or(0, |since| {
@@ -185,9 +233,28 @@
     // attributed to this one.
     let is_readable = became_readable.or(wait_elapsed).await;
     if is_readable && (idle_since.is_some() || stream.readiness() != Readiness::Readable) {
-        return false;
+        return Err(io::Error::from(io::ErrorKind::ConnectionReset).into());
     }
-    !request.cancelled.get() && stream.write_all(&[*last]).await.is_ok()
+    write_last_byte(runtime, stream, request, *last).await
+}
+
+/// Writes the last byte of a request. The limits on sending count at this moment, so they are checked
+/// at each try while the worker accepts no more bytes.
+async fn write_last_byte<R: Runtime>(
+    runtime: &R,
+    stream: &mut R::Stream,
+    request: &UnsentRequest<'_>,
+    last: u8,
+) -> Result<(), SendError> {
+    poll_fn(|cx| {
+        request.check(runtime.now())?;
+        let written = ready!(Pin::new(&mut *stream).poll_write(cx, &[last]))?;
+        if written == 0 {
+            return Poll::Ready(Err(io::Error::from(io::ErrorKind::WriteZero).into()));
+        }
+        Poll::Ready(Ok(()))
+    })
+    .await
 }
 
 /// Reads the answer to its end. Returns the connection if it can be reused.
--- a/crates/runtime/src/worker/connect.rs
+++ b/crates/runtime/src/worker/connect.rs
@@ -1,6 +1,7 @@
 //! Opens connections to workers within the limit on descriptors.
+use super::send_permit::{SendPermit, while_permitted};
 use crate::context::{Context, WorkerConnection};
-use crate::traits::{Runtime, sleep, with_timeout};
+use crate::traits::{Runtime, sleep};
 use futures_lite::future::yield_now;
 use rosewall::types::Outcome;
 use rosewall_engine::limits::DescriptorPermit;
@@ -11,21 +12,22 @@
 const DESCRIPTOR_RETRY_PAUSE: Duration = Duration::from_millis(5);
 
 /// Opens a connection. The limit applies to acquiring the descriptor and then again to connecting.
+/// Ends both as soon as the permit no longer holds.
 ///
 /// # Errors
-/// `NotSent` if no descriptor becomes free in time, which is not a fault of the worker.
-/// `ConnectFailed` if the connection fails or is not established in time.
+/// `NotSent` if no descriptor becomes free in time or the permit has ended, which is not a fault of
+/// the worker. `ConnectFailed` if the connection fails or is not established in time.
 pub(super) async fn connect<R: Runtime>(
     context: &Context<R>,
     address: SocketAddr,
     limit: Duration,
+    permit: &SendPermit,
 ) -> Result<WorkerConnection<R::Stream>, Outcome> {
     let runtime = &context.runtime;
-    let slot = with_timeout(runtime, limit, async {
-        Ok(acquire_descriptor(context).await)
-    })
-    .await
-    .map_err(|_| Outcome::NotSent)?;
+    let slot = async { Ok(acquire_descriptor(context).await) };
+    let slot = while_permitted(runtime, permit, limit, slot)
+        .await
+        .map_err(|_| Outcome::NotSent)?;
     context.counters.connects.add();
     let connect = async {
         Ok(WorkerConnection {
@@ -34,12 +36,15 @@
             _slot: slot,
         })
     };
-    with_timeout(runtime, limit, connect)
+    while_permitted(runtime, permit, limit, connect)
         .await
         .map_err(|error| {
-            context.counters.connects_failed.add();
-            log::debug!("cannot connect to {address}: {error}");
-            Outcome::ConnectFailed
+            let outcome = error.outcome();
+            if outcome == Outcome::ConnectFailed {
+                context.counters.connects_failed.add();
+            }
+            log::debug!("no connection to {address}: {error}");
+            outcome
         })
 }
 
--- a/crates/runtime/src/worker/health_check.rs
+++ b/crates/runtime/src/worker/health_check.rs
@@ -1,5 +1,6 @@
 //! Runs one health check of a worker.
 use super::connect::connect;
+use super::send_permit::SendPermit;
 use crate::context::Context;
 use crate::event::EngineEvent;
 use crate::traits::{Runtime, sleep};
@@ -49,10 +50,14 @@
     let no_report = Report::default();
     let mut connection = match context.take_idle_connection(worker) {
         Some(pooled) => pooled.connection,
-        None => match connect(context, address, limit).await {
-            Ok(connection) => connection,
-            Err(outcome) => return (outcome, no_report),
-        },
+        None => {
+            // The caller limits the time of the whole health check.
+            let permit = SendPermit::new(Nanos::MAX);
+            match connect(context, address, limit, &permit).await {
+                Ok(connection) => connection,
+                Err(outcome) => return (outcome, no_report),
+            }
+        }
     };
     let target = if context.report_fields.is_empty() {
         HealthCheckTarget::Health
--- a/crates/runtime/src/worker/mod.rs
+++ b/crates/runtime/src/worker/mod.rs
@@ -2,6 +2,8 @@
 mod attempt;
 mod connect;
 mod health_check;
+mod send_permit;
 
 pub use attempt::{AttemptConnection, send_attempt};
 pub use health_check::check_health;
+pub use send_permit::SendPermit;
--- a/crates/simulation/src/checker.rs
+++ b/crates/simulation/src/checker.rs
@@ -17,7 +17,7 @@
 pub use counts::{ClassCounts, RequestCounts};
 use endpoints::PublishedEndpoint;
 pub use endpoints::PublishedState;
-use record::{ClassRules, RequestRecord};
+use record::{ClassRules, HoldUp, RequestRecord};
 pub use record::{Outcome, RequestIndex};
 use rosewall::types::Nanos;
 use rustc_hash::{FxHashMap, FxHashSet};
@@ -28,6 +28,13 @@
 /// the network.
 pub const SLACK: Nanos = 50 * MS;
 
+/// Time by which the time-out that an attempt states may exceed the time left to the client.
+pub const STATED_TIMEOUT_SLACK: Nanos = 150 * MS;
+
+/// Time for which a dispatcher may be held up. Deadlines allow for it, retry windows and grace periods
+/// do not.
+pub const HOLD_UP_SLACK: Nanos = 150 * MS;
+
 /// Maximum number of violations kept per simulation, as one fault often causes many of the same
 /// kind.
 const MAX_VIOLATIONS: usize = 16;
@@ -57,6 +64,8 @@
     /// An invalid request is neither sent to a worker nor answered with success.
     #[serde(rename = "bad")]
     InvalidRequest,
+    /// A worker is told to answer before the client stops waiting.
+    StatedTimeout,
     /// The number of open descriptors stays within the limit.
     Descriptors,
     /// All resources are released at the end of the simulation.
@@ -89,6 +98,7 @@
     requests: Vec<RequestRecord>,
     published: FxHashMap<(HostId, WorkerIndex), PublishedEndpoint>,
     killed_dispatchers: FxHashSet<HostId>,
+    hold_ups: Vec<HoldUp>,
     warming_workers: Vec<WarmingWorker>,
     /// Mean work of a request over all loads, in ns of one slot.
     mean_work: f64,
@@ -106,6 +116,7 @@
             requests: Vec::new(),
             published: FxHashMap::default(),
             killed_dispatchers: FxHashSet::default(),
+            hold_ups: Vec::new(),
             warming_workers: Vec::new(),
             mean_work,
             violations: Vec::new(),
@@ -140,6 +151,22 @@
         self.killed_dispatchers.insert(host);
     }
 
+    /// Records that a dispatcher's process was held up.
+    pub fn dispatcher_held_up(&mut self, host: HostId, from: Nanos, until: Nanos) {
+        self.hold_ups.push(HoldUp { host, from, until });
+    }
+
+    /// Returns the time by which a dispatcher may exceed the deadline of a request at `now` in
+    /// addition to other slack, as it was held up since the request was sent.
+    fn hold_up_slack(&self, record: &RequestRecord, now: Nanos) -> Nanos {
+        let Some(sent) = record.sent else { return 0 };
+        let was_held_up = self
+            .hold_ups
+            .iter()
+            .any(|hold_up| hold_up.host == sent.to && hold_up.overlaps(sent.at, now));
+        if was_held_up { HOLD_UP_SLACK } else { 0 }
+    }
+
     /// Ends each sent request that has not ended, and reports a violation if a response was
     /// required.
     pub fn finish(&mut self, now: Nanos) {
--- a/crates/simulation/src/checker/record.rs
+++ b/crates/simulation/src/checker/record.rs
@@ -33,6 +33,22 @@
 pub(super) struct Sent {
     /// Host of the dispatcher.
     pub to: HostId,
+    /// Time at which the last byte was written.
+    pub at: Nanos,
+}
+
+/// Time in which the process of a dispatcher did not run.
+pub(super) struct HoldUp {
+    pub host: HostId,
+    pub from: Nanos,
+    pub until: Nanos,
+}
+
+impl HoldUp {
+    /// Returns whether the process did not run at some moment of a time span.
+    pub fn overlaps(&self, from: Nanos, until: Nanos) -> bool {
+        self.from <= until && from <= self.until
+    }
 }
 
 /// Retry rules of a request class.
--- a/crates/simulation/src/explore.rs
+++ b/crates/simulation/src/explore.rs
@@ -1,6 +1,6 @@
 //! Runs many simulations in parallel and sums their results.
 use crate::checker::Rule;
-use crate::generate::generate;
+use crate::generate::{generate, with_send_delays};
 use crate::hex_digest;
 use crate::scenario::Scenario;
 use crate::simulation::{Report, Trace, run_scenario};
@@ -94,6 +94,9 @@
     }
 }
 
+/// Every so many generated scenarios, one has faults that delay attempts before they are sent.
+const SEND_DELAY_INTERVAL: u64 = 4;
+
 /// Returns the scenario of a seed: `base` under that seed, or a generated one if there is no base.
 pub fn scenario_for_seed(seed: u64, base: Option<&Scenario>) -> Scenario {
     match base {
@@ -101,6 +104,7 @@
             seed,
             ..base.clone()
         },
+        None if seed.is_multiple_of(SEND_DELAY_INTERVAL) => with_send_delays(generate(seed)),
         None => generate(seed),
     }
 }
--- a/crates/simulation/src/generate.rs
+++ b/crates/simulation/src/generate.rs
@@ -1,6 +1,10 @@
 //! Generates a scenario from a seed: sizes, classes, load and faults, combined so that faults
 //! coincide. The order of the random draws must not change: any other order gives a different
 //! scenario for every seed.
+mod send_delays;
+
+pub use send_delays::with_send_delays;
+
 use crate::rng::Rng;
 use crate::scenario::{
     ALL_MISBEHAVIOURS, Fault, FaultKind, Idempotency, Limits, Load, Membership, MisbehavingClient,
--- a/crates/simulation/src/kernel.rs
+++ b/crates/simulation/src/kernel.rs
@@ -69,6 +69,8 @@
     executor: Weak<LocalExecutor<'static>>,
     /// Owners with tasks woken since the owner last ran.
     runnable: RefCell<Vec<Owner>>,
+    /// Owners that do not run at present.
+    suspended: RefCell<Vec<Owner>>,
     /// Number of pending timers by owner.
     timers: RefCell<FxHashMap<Owner, usize>>,
     timeline: RefCell<Timeline>,
@@ -88,6 +90,7 @@
             rng: RefCell::new(Rng::new(seed, 0)),
             executor: Rc::downgrade(executor),
             runnable: RefCell::default(),
+            suspended: RefCell::default(),
             timers: RefCell::default(),
             timeline: RefCell::new(Timeline::new(trace)),
         })
@@ -144,9 +147,28 @@
         waker.wake();
     }
 
-    /// Takes the runnable owners, in random order.
+    /// Stops running the tasks of an owner until it is resumed. They can still be woken.
+    pub fn suspend(&self, owner: Owner) {
+        self.suspended.borrow_mut().push(owner);
+    }
+
+    /// Runs the tasks of an owner again.
+    pub fn resume(&self, owner: Owner) {
+        self.suspended.borrow_mut().retain(|other| *other != owner);
+        self.mark_runnable(owner);
+    }
+
+    /// Takes the runnable owners that are not suspended, in random order.
     pub fn take_runnable(&self) -> Vec<Owner> {
         let mut owners = std::mem::take(&mut *self.runnable.borrow_mut());
+        let suspended = self.suspended.borrow();
+        if !suspended.is_empty() {
+            let waits = |owner: &mut Owner| suspended.contains(owner);
+            self.runnable
+                .borrow_mut()
+                .extend(owners.extract_if(.., waits));
+        }
+        drop(suspended);
         for last in (1..owners.len()).rev() {
             let other = self.random(|rng| rng.index(last + 1));
             owners.swap(last, other);
--- a/crates/simulation/src/lib.rs
+++ b/crates/simulation/src/lib.rs
@@ -8,6 +8,7 @@
 mod context;
 mod discovery;
 pub mod explore;
+mod fault_interval;
 pub mod generate;
 mod http;
 mod kernel;
--- a/crates/simulation/src/network.rs
+++ b/crates/simulation/src/network.rs
@@ -6,7 +6,9 @@
 mod listener;
 mod stream;
 
+use crate::fault_interval::FaultInterval;
 use crate::kernel::{Event, Kernel, Owner};
+use crate::time::MS;
 pub use datagram::{DatagramConditions, VirtualDatagramSocket};
 pub use link::DirectionCounters;
 use link::{Arrival, Link, Segment};
@@ -21,14 +23,38 @@
 use std::rc::Rc;
 use std::task::Poll;
 pub use stream::VirtualStream;
+use stream::{BUFFER_BYTES, UNACCEPTED_BUFFER_BYTES};
 
 /// The number of a host; the host of a dispatcher has the same number as its [`Owner`].
 pub type HostId = usize;
 
+/// Probability that a connection that comes up late does so within [`SHORT_CONNECTION_DELAY`].
+const SHORT_DELAY_SHARE: f64 = 0.7;
+/// Upper bound of most delays: a connect timeout, as longer delays end the attempt.
+const SHORT_CONNECTION_DELAY: Nanos = 250 * MS;
+/// Upper bound of all delays.
+const MAX_CONNECTION_DELAY: Nanos = 1500 * MS;
+
+/// Returns the time by which a connection comes up late.
+pub fn random_connection_delay(kernel: &Kernel) -> Nanos {
+    kernel.random(|rng| {
+        let longest = if rng.chance(SHORT_DELAY_SHARE) {
+            SHORT_CONNECTION_DELAY
+        } else {
+            MAX_CONNECTION_DELAY
+        };
+        rng.range(1, longest)
+    })
+}
+
 struct Host {
     owner: Owner,
     /// Whether all segments to and from this host are lost.
     unreachable: bool,
+    /// When and for how many connections the host confirms a connect late.
+    late_connections: FaultInterval,
+    /// Time until which a connection that is not accepted yet holds only a few bytes.
+    small_window_until: Nanos,
     /// Number of open connections.
     open: usize,
     /// The highest value of `open` since the last reset of the peak.
@@ -106,6 +132,8 @@
         state.hosts.push(Host {
             owner: crate::kernel::ENVIRONMENT,
             unreachable: false,
+            late_connections: FaultInterval::default(),
+            small_window_until: 0,
             open: 0,
             peak: 0,
         });
@@ -140,6 +168,16 @@
         self.state.borrow_mut().hosts[host].unreachable = unreachable;
     }
 
+    /// Delays connections to a host for an interval.
+    pub fn delay_connections(&self, host: HostId, interval: FaultInterval) {
+        self.state.borrow_mut().hosts[host].late_connections = interval;
+    }
+
+    /// Limits the bytes that a host holds of connections that it has not accepted.
+    pub fn limit_unaccepted_bytes(&self, host: HostId, until: Nanos) {
+        self.state.borrow_mut().hosts[host].small_window_until = until;
+    }
+
     /// Listens at an address; replaces an earlier listener there.
     pub fn listen(
         self: &Rc<Self>,
@@ -199,12 +237,14 @@
 
     /// Delivers the next segment in transit in one direction of a link.
     pub fn deliver(&self, link: usize, direction: usize) {
-        let arrival = self.state.borrow_mut().receive_next(link, direction);
+        let now = self.kernel.now();
+        let arrival = self.state.borrow_mut().receive_next(now, link, direction);
         let Some(Arrival { wakers, reply }) = arrival else {
             return;
         };
         if let Some(segment) = reply {
-            self.send(link, 1 - direction, segment);
+            let delay = self.connection_delay(link, &segment);
+            self.send_after(delay, link, 1 - direction, segment);
         }
         for (owner, waker) in wakers {
             self.kernel.wake(owner, waker);
@@ -257,7 +297,29 @@
         state.links.iter().filter_map(side_at_host).collect()
     }
 
+    /// Returns the delay of a reply to a connect.
+    fn connection_delay(&self, link: usize, reply: &Segment) -> Nanos {
+        let Segment::ConnectResult(true) = reply else {
+            return 0;
+        };
+        let state = self.state.borrow();
+        let Some(entry) = state.links.get(link) else {
+            return 0;
+        };
+        let late_connections = state.hosts[entry.hosts[1]].late_connections;
+        drop(state);
+        if late_connections.affects_now(&self.kernel) {
+            random_connection_delay(&self.kernel)
+        } else {
+            0
+        }
+    }
+
     fn send(&self, link: usize, direction: usize, segment: Segment) {
+        self.send_after(0, link, direction, segment);
+    }
+
+    fn send_after(&self, delay: Nanos, link: usize, direction: usize, segment: Segment) {
         let NetworkConditions {
             min_latency,
             max_latency,
@@ -271,7 +333,7 @@
         let Some(entry) = state.links.get_mut(link) else {
             return;
         };
-        let at = entry.directions[direction].push(self.kernel.now() + latency, segment);
+        let at = entry.directions[direction].push(self.kernel.now() + delay + latency, segment);
         let receiver = entry.hosts[1 - direction];
         let owner = state.hosts[receiver].owner;
         drop(state);
@@ -312,9 +374,18 @@
 }
 
 impl State {
+    /// Returns how many unread bytes one direction of a link may hold.
+    fn buffer_bytes(&self, now: Nanos, entry: &Link) -> usize {
+        if entry.in_backlog && now < self.hosts[entry.hosts[1]].small_window_until {
+            UNACCEPTED_BUFFER_BYTES
+        } else {
+            BUFFER_BYTES
+        }
+    }
+
     /// Applies the next segment in transit; returns `None` if the link or the segment no longer
     /// exists.
-    fn receive_next(&mut self, link: usize, direction: usize) -> Option<Arrival> {
+    fn receive_next(&mut self, now: Nanos, link: usize, direction: usize) -> Option<Arrival> {
         let entry = self.links.get_mut(link)?;
         let segment = entry.directions[direction].pop()?;
         // The accepting host is the one that listens when the connect arrives.
@@ -328,7 +399,7 @@
             return Some(Arrival::default());
         }
         Some(match segment {
-            Segment::Bytes(bytes) => entry.on_bytes(direction, bytes, owners),
+            Segment::Bytes(bytes) => entry.on_bytes(now, direction, bytes, owners),
             Segment::End => entry.on_end(direction, owners),
             Segment::Reset => {
                 entry.on_reset(direction, owners, self.conditions.reset_discards_unread)
--- a/crates/simulation/src/network/listener.rs
+++ b/crates/simulation/src/network/listener.rs
@@ -125,7 +125,13 @@
                 continue;
             };
             entry.in_backlog = false;
+            let writer = entry.directions[0].writer.take();
+            let owner = state.hosts[entry.hosts[0]].owner;
             state.hosts[self.host].connection_opened();
+            // More bytes fit now.
+            if let Some(writer) = writer {
+                self.network.kernel.wake(owner, writer);
+            }
             return Ok(VirtualStream::new(
                 &self.network,
                 LinkSide { link, side: 1 },
--- a/crates/simulation/src/simulation/faults.rs
+++ b/crates/simulation/src/simulation/faults.rs
@@ -3,12 +3,13 @@
 use super::dispatchers::gossip_address;
 use super::environment::Environment;
 use crate::checker::WorkerIndex;
+use crate::fault_interval::FaultInterval;
 use crate::kernel::ENVIRONMENT;
 use crate::network::ResetScope;
 use crate::scenario::{Fault, FaultKind};
 use crate::time::{MS, from_ms};
 use crate::timeline::TimelineEvent;
-use crate::worker::{FaultInterval, WorkerFaults};
+use crate::worker::WorkerFaults;
 use rosewall::types::{EndpointState, Nanos};
 use std::ops::RangeInclusive;
 use std::rc::Rc;
@@ -90,6 +91,15 @@
             FaultKind::MalformedResponses => {
                 self.set_worker_fault(target, |faults| faults.malformed = interval);
             }
+            FaultKind::LateConnections => {
+                let host = self.worker(target).host();
+                let network = &self.context.network;
+                network.delay_connections(host, interval);
+            }
+            FaultKind::LateAccepts => self.delay_accepts(target, interval),
+            FaultKind::ResetBeforeWindowEnd => self.set_worker_fault(target, |faults| {
+                faults.reset_before_window_end = interval;
+            }),
             FaultKind::ResetConnections => self.reset_connections(active, ResetScope::OtherSide),
             FaultKind::ResetBothSides => self.reset_connections(active, ResetScope::BothSides),
             FaultKind::Crash => self.crash_worker(active).await,
@@ -108,17 +118,9 @@
             FaultKind::Stop => self.stop_and_start(active).await,
             FaultKind::Reload | FaultKind::ReloadUnreachable => self.move_discovery(active),
             FaultKind::ReduceDescriptors => self.reduce_descriptors(active).await,
-            FaultKind::DropInbound => {
-                let network = &self.context.network;
-                network.drop_inbound_datagrams(gossip_address(target), active.until);
-            }
-            FaultKind::DropOutbound => {
-                let network = &self.context.network;
-                network.drop_outbound_datagrams(gossip_address(target), active.until);
-            }
-            FaultKind::Partition => {
-                let side = (0..=target).map(gossip_address);
-                self.context.network.partition_datagrams(side, active.until);
+            FaultKind::HoldUp => self.hold_up(active).await,
+            FaultKind::DropInbound | FaultKind::DropOutbound | FaultKind::Partition => {
+                self.drop_datagrams(active);
             }
         }
     }
@@ -130,6 +132,14 @@
         set(&mut self.worker(worker).faults.borrow_mut());
     }
 
+    fn delay_accepts(&self, worker: WorkerIndex, interval: FaultInterval) {
+        let host = self.worker(worker).host();
+        self.context
+            .network
+            .limit_unaccepted_bytes(host, interval.until);
+        self.set_worker_fault(worker, |faults| faults.late_accepts = interval);
+    }
+
     fn reset_connections(&self, active: &ActiveFault, scope: ResetScope) {
         let host = self.worker(active.fault.target).host();
         self.context
@@ -219,6 +229,23 @@
 
 /// Faults of dispatchers.
 impl Environment {
+    fn drop_datagrams(&self, active: &ActiveFault) {
+        let network = &self.context.network;
+        let target = active.fault.target;
+        match active.fault.kind {
+            FaultKind::DropInbound => {
+                network.drop_inbound_datagrams(gossip_address(target), active.until);
+            }
+            FaultKind::DropOutbound => {
+                network.drop_outbound_datagrams(gossip_address(target), active.until);
+            }
+            _ => {
+                let side = (0..=target).map(gossip_address);
+                network.partition_datagrams(side, active.until);
+            }
+        }
+    }
+
     async fn kill_and_start(&self, active: &ActiveFault) {
         let dispatcher = active.fault.target;
         if self.is_running(dispatcher) {
@@ -237,6 +264,18 @@
         }
     }
 
+    async fn hold_up(&self, active: &ActiveFault) {
+        let kernel = &self.context.kernel;
+        let host = self.dispatchers.borrow()[active.fault.target].host;
+        self.context
+            .checker
+            .borrow_mut()
+            .dispatcher_held_up(host, kernel.now(), active.until);
+        kernel.suspend(host);
+        kernel.sleep(active.duration).await;
+        kernel.resume(host);
+    }
+
     async fn reduce_descriptors(&self, active: &ActiveFault) {
         let dispatcher = active.fault.target;
         let descriptors = self.scenario.limits.sockets;
--- a/crates/simulator-adapter/src/actions.rs
+++ b/crates/simulator-adapter/src/actions.rs
@@ -17,7 +17,10 @@
 /// Adds the record of one action to the reply.
 pub fn write(action: &Action, reply: &mut Reply) {
     match action {
-        Action::SendAttempt { request_id, worker } => send_attempt(*request_id, *worker, reply),
+        // The simulator sends at once, so the send deadline cannot pass.
+        Action::SendAttempt {
+            request_id, worker, ..
+        } => send_attempt(*request_id, *worker, reply),
         // Defined by the protocol, although the policy requests no health checks.
         Action::CheckHealth { worker } => reply.record(
             action::CHECK_HEALTH,
--- a/src/mutation.rs
+++ b/src/mutation.rs
@@ -39,6 +39,10 @@
     DropWatchOnReload,
     /// Requests that were sent more than once are never removed.
     LeakRequest,
+    /// An attempt is sent although its send deadline has passed.
+    IgnoreSendDeadline,
+    /// An attempt that waited for its connection tells its worker the time that was left before.
+    StateOutdatedTimeout,
     // Protocol between dispatchers.
     /// The time for which this process was paused counts as silence of the other members.
     IgnorePause,
@@ -142,6 +146,8 @@
     Mutation::CloseWithoutAnswer,
     Mutation::DropWatchOnReload,
     Mutation::LeakRequest,
+    Mutation::IgnoreSendDeadline,
+    Mutation::StateOutdatedTimeout,
 ];
 
 #[cfg(feature = "mutations")]
--- a/src/policy/attempts.rs
+++ b/src/policy/attempts.rs
@@ -71,7 +71,11 @@
         selection: Selection,
         actions: &mut Vec<Action>,
     ) {
-        self.record_sent_work(now, selection.worker, self.requests[key].warm_up_work);
+        let warm_up_work = self.requests[key].warm_up_work;
+        let allowance_end = self.record_sent_work(now, selection.worker, warm_up_work);
+        let send_by = self
+            .request_send_deadline(&self.requests[key])
+            .min(allowance_end);
         let worker = &self.workers[selection.worker];
         let active = &mut self.requests[key];
         let request_id = active.request.id;
@@ -95,6 +99,7 @@
         actions.push(Action::SendAttempt {
             request_id,
             worker: worker.id,
+            send_by,
         });
         actions.push(Action::SetTimer {
             at: self.start_overdue_at(now, key, selection),
@@ -250,7 +255,8 @@
         if outcome == Outcome::ConnectFailed {
             worker.record_connect_failure(now);
         }
-        if classify_outcome(outcome) == RequestInput::NotRun {
+        let was_sent = outcome != Outcome::NotSent;
+        if was_sent && classify_outcome(outcome) == RequestInput::NotRun {
             // The worker rejects at once. Without this delay it would appear idle and attract all
             // requests.
             let time_left = active.objective_deadline.saturating_sub(now) as f64;
--- a/src/policy/dispatcher.rs
+++ b/src/policy/dispatcher.rs
@@ -248,14 +248,16 @@
         }
     }
 
-    /// Sends a request to a worker, rejects it, or delays it until a warming worker may accept it.
+    /// Sends a request to a worker, rejects it, or delays it until a warming worker may accept it. A
+    /// request that can no longer be sent to any worker is given up at once.
     pub(super) fn dispatch_request(&mut self, now: Nanos, key: usize, actions: &mut Vec<Action>) {
         let active = &self.requests[key];
         let request_id = active.request.id;
         let attempts_sent = active.attempts_sent;
         let service_time = active.demand.service_time as Nanos;
         let objective_deadline = active.objective_deadline;
-        if attempts_sent >= self.max_attempts || now >= active.request.deadline {
+        let send_deadline = self.request_send_deadline(active);
+        if attempts_sent >= self.max_attempts || now >= send_deadline {
             return self.apply_input(now, request_id, RequestInput::GivenUp, actions);
         }
         let interval = self.interval_of(now, key);
@@ -268,7 +270,7 @@
                 self.send_attempt(now, key, selection, actions);
             }
             None if now + service_time < objective_deadline => actions.push(Action::SetTimer {
-                at: now + REDISPATCH_DELAY,
+                at: (now + REDISPATCH_DELAY).min(send_deadline),
                 token: attempt_timer(request_id, attempts_sent),
             }),
             _ => self.apply_input(now, request_id, RequestInput::GivenUp, actions),
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -18,6 +18,7 @@
 //! | `peer_load` | exchange of load reports between dispatchers |
 //! | `load_report` | load of the workers, from their reports and from attempts in flight |
 //! | `attempts` | sending of attempts, and estimates updated from their results |
+//! | `send_deadline` | time by which an attempt must be sent |
 //! | `endpoint_list` | polling and application of the endpoint list |
 mod admission;
 mod attempts;
@@ -28,6 +29,7 @@
 mod load_report;
 mod outlier;
 mod peer_load;
+mod send_deadline;
 mod slow_start;
 mod subset;
 mod worker_selection;
--- a/src/policy/slow_start.rs
+++ b/src/policy/slow_start.rs
@@ -47,6 +47,10 @@
 /// senders of the previous step may have filled it.
 const WINDOWS_PER_ROTATION_STEP: u64 = 4;
 
+/// Part of the overload window within which an attempt at a warming worker must be sent. Attempts
+/// that wait longer would reach the worker together with those of the next window.
+const SEND_TIME_DIVISOR: Nanos = 10;
+
 /// Work that this dispatcher may send to a warming worker without a grant.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct WarmUpAllowance {
@@ -56,6 +60,14 @@
     pub(super) represented_dispatchers: f64,
 }
 
+/// Result of deducting work from the grants at a worker.
+struct GrantUse {
+    /// Work that the grants do not cover.
+    uncovered_work: f64,
+    /// Earliest expiry of the grants that were used; `None` if none was.
+    expires_at: Option<Nanos>,
+}
+
 /// Returns an offset that varies the schedules between workers.
 fn schedule_offset(worker: WorkerId) -> u64 {
     let [a, b, c, d] = worker.addr.map(u64::from);
@@ -72,16 +84,21 @@
             .sum()
     }
 
-    /// Deducts work from the grants, in order of expiry, and returns the work that they do not cover.
-    fn consume_grants(&mut self, now: Nanos, mut work: f64) -> f64 {
+    /// Deducts work from the grants, in order of expiry.
+    fn consume_grants(&mut self, now: Nanos, mut work: f64) -> GrantUse {
         self.warm_up_grants
             .retain(|grant| now < grant.expires_at && grant.unused_work > 0.0);
+        let first_expiry = self.warm_up_grants.first().map(|grant| grant.expires_at);
+        let expires_at = first_expiry.filter(|_| work > 0.0);
         for grant in &mut self.warm_up_grants {
             let used = grant.unused_work.min(work);
             grant.unused_work -= used;
             work -= used;
         }
-        work
+        GrantUse {
+            uncovered_work: work,
+            expires_at,
+        }
     }
 }
 
@@ -200,18 +217,41 @@
         }
     }
 
-    /// Deducts the work of an attempt from the grants and the allowance at its worker.
-    pub(super) fn record_sent_work(&mut self, now: Nanos, worker_index: usize, work: f64) {
+    /// Deducts the work of an attempt from the grants and the allowance at its worker. Returns the
+    /// time until which they cover it; [`Nanos::MAX`] at a warm worker.
+    pub(super) fn record_sent_work(&mut self, now: Nanos, worker_index: usize, work: f64) -> Nanos {
         let window_start = self.overload_window_start(now);
         let is_warming = self.slow_start_factor(&self.workers[worker_index], now) < 1.0;
+        let allowance_end = self.allowance_end(&self.workers[worker_index], now);
         let worker = &mut self.workers[worker_index];
         worker.recent_work.retain(|sent| sent.at >= window_start);
-        let work = if is_warming {
-            worker.consume_grants(now, work)
-        } else {
-            work
-        };
-        worker.recent_work.push_back(SentWork { at: now, work });
+        if !is_warming {
+            worker.recent_work.push_back(SentWork { at: now, work });
+            return Nanos::MAX;
+        }
+        let GrantUse {
+            uncovered_work,
+            expires_at,
+        } = worker.consume_grants(now, work);
+        worker.recent_work.push_back(SentWork {
+            at: now,
+            work: uncovered_work,
+        });
+        expires_at.map_or(allowance_end, |expires_at| allowance_end.min(expires_at))
+    }
+
+    /// Returns the time until which the allowance at a warming worker covers an attempt: a part of the
+    /// overload window, and by the rotation schedule the end of the rotation step.
+    fn allowance_end(&self, worker: &Worker, now: Nanos) -> Nanos {
+        let window = (self.settings.overload_window as Nanos).max(1);
+        let send_time_end = now + window / SEND_TIME_DIVISOR;
+        if self.settings.uses_warm_up_grants {
+            return send_time_end;
+        }
+        let window_number = now / window + schedule_offset(worker.id);
+        let windows_left = WINDOWS_PER_ROTATION_STEP - window_number % WINDOWS_PER_ROTATION_STEP;
+        let step_end = (now / window + windows_left) * window;
+        send_time_end.min(step_end)
     }
 
     fn overload_window_start(&self, now: Nanos) -> Nanos {
--- a/src/policy/slow_start/tests.rs
+++ b/src/policy/slow_start/tests.rs
@@ -91,7 +91,10 @@
         let hint = hint();
         let arrival = Event::RequestArrived(request(n, 0, hint, now));
         for action in handle(&mut dispatcher, now, arrival) {
-            let Action::SendAttempt { worker, request_id } = action else {
+            let Action::SendAttempt {
+                worker, request_id, ..
+            } = action
+            else {
                 continue;
             };
             sent.push(WorkSent {
--- a/src/policy/worker_selection.rs
+++ b/src/policy/worker_selection.rs
@@ -5,7 +5,6 @@
 use super::Dispatcher;
 use super::subset::{MAX_DISPATCHERS_PER_WORKER, MIN_DISPATCHERS_PER_WORKER};
 use crate::mutation::{Mutation, is_active};
-use crate::settings::Idempotency::IdempotentWithKey;
 use crate::settings::RetryScope;
 use crate::start_delays::Congestion;
 use crate::state::{ActiveRequest, FleetMeans, RequestClass, UncertainAttempt, Worker};
@@ -58,7 +57,7 @@
     class: &'a RequestClass,
     /// Indices of the candidate workers, ordered by id.
     workers: &'a [usize],
-    /// Attempt to whose retry scope and window the request is bound.
+    /// Attempt to whose retry scope the request is bound.
     bound_to: Option<UncertainAttempt>,
     mean_work: f64,
     /// Mean start delay of the fleet that other dispatchers cause, as a fraction of the slack.
@@ -69,19 +68,26 @@
 }
 
 impl SelectionContext<'_> {
-    /// Returns whether the request is bound to a retry scope and window that exclude this worker now.
+    /// Returns whether the request is bound to a retry scope that excludes this worker.
     fn forbids_worker(&self, workers: &[Worker], index: usize) -> bool {
         let Some(bound_to) = self.bound_to else {
             return false;
         };
         let first = &workers[bound_to.worker];
         let worker = &workers[index];
-        let is_in_scope = match self.class.settings.retry_scope {
-            RetryScope::All => true,
-            RetryScope::Zone => first.zone == worker.zone,
-            RetryScope::Group => first.group == worker.group,
-        };
-        !is_in_scope || self.now >= bound_to.sent_at + self.class.settings.retry_window
+        match self.class.settings.retry_scope {
+            RetryScope::All => false,
+            RetryScope::Zone => first.zone != worker.zone,
+            RetryScope::Group => first.group != worker.group,
+        }
+    }
+
+    /// Returns whether an earlier attempt of the request went to this worker.
+    fn was_tried(&self, index: usize) -> bool {
+        self.active
+            .attempts()
+            .iter()
+            .any(|attempt| attempt.worker == index)
     }
 }
 
@@ -151,9 +157,7 @@
     fn selection_context(&self, now: Nanos, key: usize) -> SelectionContext<'_> {
         let active = &self.requests[key];
         let class = &self.classes[usize::from(active.request.class)];
-        let bound_to = active.first_uncertain_attempt.filter(|_| {
-            active.idempotency == IdempotentWithKey && !is_active(Mutation::IgnoreRetryWindow)
-        });
+        let bound_to = active.binding_attempt();
         // A retry that is bound to a scope may need a worker outside the subset.
         let workers = if bound_to.is_some() {
             &class.eligible_workers
@@ -234,11 +238,13 @@
         }
     }
 
-    /// Returns whether the request can start almost at once at a worker that is not an outlier.
+    /// Returns whether the request can start almost at once at a worker that is not an outlier. A
+    /// worker that an earlier attempt did not reach in time is selected only by cost.
     fn is_suitable(&self, context: &SelectionContext, index: usize, estimate: &Estimate) -> bool {
         estimate.failures < MAX_FAILURE_SCORE
             && estimate.slack_usage < NEGLIGIBLE_SLACK_USAGE
             && self.has_free_slot(context, index)
+            && !context.was_tried(index)
     }
 
     /// Returns the cost of a worker that is not suitable, `distance` positions away from the request's
@@ -251,11 +257,6 @@
         estimate: &Estimate,
     ) -> f64 {
         let worker = &self.workers[index];
-        let has_failed_there = context
-            .active
-            .attempts()
-            .iter()
-            .any(|attempt| attempt.worker == index);
         // Own attempts are already part of the wait. They count again here, as other dispatchers
         // observe the same state and send to the same worker.
         let own_load =
@@ -264,7 +265,7 @@
         estimate.slack_usage
             + own_load
             + estimate.failures
-            + f64::from(has_failed_there)
+            + f64::from(context.was_tried(index))
             + distance_cost
     }
 
--- a/src/types.rs
+++ b/src/types.rs
@@ -292,6 +292,9 @@
         request_id: RequestId,
         /// Worker to send it to.
         worker: WorkerId,
+        /// Time by which its last byte must be written. Later the attempt must end as
+        /// [`Outcome::NotSent`] instead.
+        send_by: Nanos,
     },
     /// Check a worker's health. No decision requests it, as attempts already show a worker's health.
     /// The simulator's protocol can carry it.
