Discovery: a list is read on while it arrives, for 5 s, not given up after 0.5 s

What callers saw: while the discovery service was crowded and sent its list slowly (24 lines in 0.73 s), no list was ever taken: each answer was given up 0.5 s after its first byte and requested again.

Cause: one limit for the whole rest of an answer, whatever its size. Change: 0.5 s for each further part, 5 s for the whole.

A truncated list is still given up after 0.5 s (its test).

--- a/crates/cluster-testbed/src/stubs/discovery.rs
+++ b/crates/cluster-testbed/src/stubs/discovery.rs
@@ -32,6 +32,8 @@
     unresponsive: bool,
     /// Whether only half of the next response is sent, after which its connection stays open.
     truncates_next: bool,
+    /// Pause after each part of a response; `None` to send responses at once.
+    part_pause: Option<Duration>,
 }
 
 #[derive(Default)]
@@ -48,6 +50,9 @@
     shared: Arc<Shared>,
 }
 
+/// Number of parts of a response that is sent slowly.
+const SLOW_PARTS: usize = 10;
+
 /// Returns an endpoint in the form of an endpoint list. `health` is `ready`, `draining` or `gone`.
 pub fn endpoint_json(name: &str, dial: &str, health: &str) -> Value {
     json!({"host": name, "dial": dial, "site": "here", "class": "m1", "block": 0, "health": health,
@@ -65,6 +70,15 @@
     let _ = stream.read(&mut [0]);
 }
 
+/// Writes bytes in parts, with a pause after each.
+fn write_slowly(mut stream: &TcpStream, bytes: &[u8], pause: Duration) -> Option<()> {
+    for part in bytes.chunks(bytes.len().div_ceil(SLOW_PARTS).max(1)) {
+        stream.write_all(part).ok()?;
+        std::thread::sleep(pause);
+    }
+    Some(())
+}
+
 /// Watch of the endpoint list.
 struct Watch {
     /// Version from which changes are requested; `None` for a snapshot.
@@ -153,7 +167,12 @@
             hold_open(stream);
             return None;
         }
-        stream.write_all(response.as_bytes()).ok()
+        let part_pause = state.part_pause;
+        drop(state);
+        match part_pause {
+            None => stream.write_all(response.as_bytes()).ok(),
+            Some(pause) => write_slowly(stream, response.as_bytes(), pause),
+        }
     }
 
     /// Waits until the watch can be answered. A watch from any version but the newest is answered at once; a watch from
@@ -207,6 +226,11 @@
         );
     }
 
+    /// Sends all further responses in ten parts, with a pause after each.
+    pub fn send_slowly(&self, pause: Duration) {
+        self.change(|state| state.part_pause = Some(pause));
+    }
+
     /// Publishes changes, and the full list for new watches and for those that missed a change. Does not wait for the
     /// daemon.
     pub fn publish(&self, changed: Vec<Value>, all: Vec<Value>) {
--- a/crates/rosewalld/tests/teardown.rs
+++ b/crates/rosewalld/tests/teardown.rs
@@ -138,6 +138,24 @@
     assert_first_worker_is_avoided(&fleet.daemon, &fleet.workers);
 }
 
+/// Guards against lists that are given up while they still arrive, and then requested for ever: a change must be applied
+/// within 6 s, also if the service is crowded.
+#[test_case("pushed"; "a pushed list")]
+#[test_case("on_request"; "a polled list")]
+fn a_drain_in_a_list_that_arrives_slowly_is_applied_in_time(mode: &str) {
+    let fleet = Fleet::new(mode);
+    fleet.discovery.send_slowly(Duration::from_millis(150));
+    fleet.drain_first_worker(&fleet.discovery);
+    let started_at = Instant::now();
+    fleet.discovery.wait_until_list_is_read();
+    assert!(
+        started_at.elapsed() < Duration::from_secs(6),
+        "list applied after {:?}",
+        started_at.elapsed()
+    );
+    assert_first_worker_is_avoided(&fleet.daemon, &fleet.workers);
+}
+
 #[test_case("draining")]
 #[test_case("gone")]
 fn an_attempt_whose_worker_drains_while_it_connects_is_not_sent(health: &str) {
--- a/crates/runtime/src/discovery/exchange.rs
+++ b/crates/runtime/src/discovery/exchange.rs
@@ -10,9 +10,12 @@
 use std::task::Poll;
 use std::time::Duration;
 
-/// Time limit for the rest of an answer that has begun: hundreds of times the time needed within
-/// one data centre.
-const ANSWER_REST_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time limit for the next part of an answer that has begun: hundreds of times the time needed
+/// within one data centre.
+const ANSWER_PART_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time limit for a whole answer that has begun. A crowded service sends a long list slowly; to give
+/// it up while it arrives would request the same list again.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time limit for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 /// Size of one read.
@@ -58,7 +61,8 @@
                     reusable: response.reusable,
                 });
             }
-            count = stream.read(&mut buffer).await?;
+            let part = stream.read(&mut buffer);
+            count = with_timeout(runtime, ANSWER_PART_TIMEOUT, part).await?;
         }
         let body = reader
             .connection_closed()
@@ -69,7 +73,7 @@
             reusable: false,
         })
     };
-    with_timeout(runtime, ANSWER_REST_TIMEOUT, rest).await
+    with_timeout(runtime, ANSWER_TIMEOUT, rest).await
 }
 
 /// Returns the first answer of several concurrent calls. A further call starts after each `retry`
