Testbed: late connections, losses before the end of a retry window, repeats judged at workers

Cause: the testbed could not find a repeat after its retry window: the window was 5 s, deadlines 1.5 s, and its checker did not look at requests with a key. Change: scenarios state the window, connect time-out and idle time-out; workers fill their listener's queue so that connections come up late, and lose requests with a key before the window ends; the checker compares the arrival of each repeat with that of the first attempt.

--- a/crates/cluster-testbed/src/checker.rs
+++ b/crates/cluster-testbed/src/checker.rs
@@ -4,10 +4,12 @@
 mod record;
 mod slow_start;
 
-pub use record::{ClientRequest, Drain, Outage, Response, Rule, SlowStartUse, Violation};
+pub use record::{
+    ClientRequest, Drain, Idempotency, Outage, Response, Rule, SlowStartUse, Violation,
+};
 
-use crate::worker::{Execution, Worker};
-use std::collections::HashMap;
+use crate::worker::{Execution, ReceivedRequest, Worker};
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -25,6 +27,8 @@
     pub end: Instant,
     /// Deadline of each request, measured from when it was sent.
     pub timeout: Duration,
+    /// Time for which workers recognise a repeated request, from the arrival of its first attempt.
+    pub retry_window: Duration,
     /// All workers, indexed by number.
     pub workers: &'a [Arc<Worker>],
     /// All requests of the clients.
@@ -47,6 +51,7 @@
         let mut violations = Vec::new();
         self.check_responses(&mut violations);
         self.check_idempotency(&mut violations);
+        self.check_retry_window(&mut violations);
         self.check_drains(&mut violations);
         self.check_slow_start(&mut violations);
         violations
@@ -103,7 +108,11 @@
                 .or_default()
                 .push(execution.at);
         }
-        for request in self.requests.iter().filter(|request| !request.idempotent) {
+        let non_idempotent = self
+            .requests
+            .iter()
+            .filter(|request| request.idempotency == Idempotency::NonIdempotent);
+        for request in non_idempotent {
             let runs = runs_by_id
                 .get(request.id.as_str())
                 .map_or(&[][..], Vec::as_slice);
@@ -118,6 +127,37 @@
         }
     }
 
+    /// Checks that each repeat of a request with a key is complete at its worker before the end of the retry window,
+    /// after which the worker would run it again.
+    fn check_retry_window(&self, violations: &mut Vec<Violation>) {
+        let keyed: HashSet<&str> = self
+            .requests
+            .iter()
+            .filter(|request| request.idempotency == Idempotency::IdempotentWithKey)
+            .map(|request| request.id.as_str())
+            .collect();
+        let mut received = self.received();
+        received.retain(|request| keyed.contains(request.id.as_str()));
+        received.sort_by_key(|request| request.at);
+        let mut first_arrivals: HashMap<&str, Instant> = HashMap::new();
+        for request in &received {
+            let first = *first_arrivals.entry(&request.id).or_insert(request.at);
+            let latest = first + self.retry_window + SLACK;
+            if request.at > latest {
+                let late_ms = (request.at - latest).as_millis();
+                let description =
+                    format!("{} was repeated {late_ms} ms after its window", request.id);
+                violations.push(self.violation(Rule::Idempotency, request.at, description));
+            }
+        }
+    }
+
+    /// Returns the requests that all workers received, grouped by worker.
+    fn received(&self) -> Vec<ReceivedRequest> {
+        let of_worker = |worker: &Arc<Worker>| worker.read(|record| record.received.clone());
+        self.workers.iter().flat_map(of_worker).collect()
+    }
+
     /// Returns the executions of all workers, grouped by worker.
     fn executions(&self) -> Vec<Execution> {
         let of_worker = |worker: &Arc<Worker>| worker.read(|record| record.executions.clone());
--- a/crates/cluster-testbed/src/checker/record.rs
+++ b/crates/cluster-testbed/src/checker/record.rs
@@ -11,6 +11,17 @@
     pub at: Instant,
 }
 
+/// When a request may run again after it may have run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Idempotency {
+    /// Always.
+    Idempotent,
+    /// Within the retry window, in which workers recognise it by its key.
+    IdempotentWithKey,
+    /// Never.
+    NonIdempotent,
+}
+
 /// One request as its client recorded it.
 #[derive(Clone, Debug)]
 pub struct ClientRequest {
@@ -18,8 +29,8 @@
     pub id: String,
     /// Number of the dispatcher it was sent to.
     pub dispatcher: usize,
-    /// Whether it may run more than once.
-    pub idempotent: bool,
+    /// When it may run again.
+    pub idempotency: Idempotency,
     /// Time at which it was sent.
     pub sent_at: Instant,
     /// Response, or `None` if the connection ended without one.
--- a/crates/cluster-testbed/src/scenario.rs
+++ b/crates/cluster-testbed/src/scenario.rs
@@ -8,6 +8,7 @@
 use crate::relay::LinkConditions;
 use serde::{Deserialize, Serialize};
 use std::path::Path;
+use std::time::Duration;
 
 const MAX_DISPATCHERS: usize = 50;
 const MAX_WORKERS: usize = 64;
@@ -65,6 +66,10 @@
     pub slots: usize,
     /// Range in milliseconds over which the wall clocks of dispatchers differ.
     pub skew_ms: u64,
+    /// Time in milliseconds that a connect may take, or `None` for 250.
+    pub connect_ms: Option<u64>,
+    /// Time in milliseconds after which workers close idle connections, or `None` for 30,000.
+    pub idle_ms: Option<u64>,
 }
 
 impl Default for Fleet {
@@ -78,6 +83,8 @@
             workers: 6,
             slots: 2,
             skew_ms: 0,
+            connect_ms: None,
+            idle_ms: None,
         }
     }
 }
@@ -105,6 +112,18 @@
     pub pause_ms: f64,
     /// Time in milliseconds from the sending of a request to its deadline.
     pub expiry_ms: u64,
+    /// Time in milliseconds for which workers recognise a repeated request by its key, or `None` for 5 s.
+    pub retry_window_ms: Option<u64>,
+}
+
+/// Time in milliseconds for which workers recognise a repeated request by its key, if the scenario states none.
+const DEFAULT_RETRY_WINDOW_MS: u64 = 5_000;
+
+impl Load {
+    /// Returns the time for which workers recognise a repeated request by its key.
+    pub fn retry_window(&self) -> Duration {
+        Duration::from_millis(self.retry_window_ms.unwrap_or(DEFAULT_RETRY_WINDOW_MS))
+    }
 }
 
 impl Default for Load {
@@ -114,6 +133,7 @@
             work_ms: 60.0,
             pause_ms: 150.0,
             expiry_ms: 1_500,
+            retry_window_ms: None,
         }
     }
 }
--- a/crates/cluster-testbed/src/scenario/fault.rs
+++ b/crates/cluster-testbed/src/scenario/fault.rs
@@ -30,6 +30,13 @@
     /// Makes workers run requests and close connections before the end of the response.
     #[serde(rename = "lose")]
     LoseResponse,
+    /// Makes new connections to workers come up late: the system repeats a connect after 1 s and then 3 s.
+    #[serde(rename = "late")]
+    LateConnections,
+    /// Makes workers run requests of the class with a key without an answer, and close their connections shortly before
+    /// the end of the retry window.
+    #[serde(rename = "lose-late")]
+    LoseBeforeWindowEnd,
     /// Drops all datagrams between these dispatchers and all others.
     #[serde(rename = "split")]
     Partition,
--- a/crates/cluster-testbed/src/testbed/client.rs
+++ b/crates/cluster-testbed/src/testbed/client.rs
@@ -1,5 +1,5 @@
 //! Client of one dispatcher. Sends one request at a time and reuses its connection while that is open.
-use crate::checker::{ClientRequest, Response};
+use crate::checker::{ClientRequest, Idempotency, Response};
 use crate::scenario::Load;
 use crate::stubs::{read_message, request};
 use rosewall::pcg::Pcg;
@@ -18,22 +18,25 @@
 /// Request class in the configuration of the testbed's dispatchers.
 struct RequestClass {
     name: &'static str,
-    idempotent: bool,
+    idempotency: Idempotency,
 }
 
+/// Class whose requests may run again within their retry window.
+const KEYED_CLASS: &str = "invoice";
+
 /// Classes of requests, in rotation.
 const CLASSES: [RequestClass; 3] = [
     RequestClass {
         name: "thumb",
-        idempotent: true,
+        idempotency: Idempotency::Idempotent,
     },
     RequestClass {
-        name: "invoice",
-        idempotent: true,
+        name: KEYED_CLASS,
+        idempotency: Idempotency::IdempotentWithKey,
     },
     RequestClass {
         name: "charge",
-        idempotent: false,
+        idempotency: Idempotency::NonIdempotent,
     },
 ];
 
@@ -130,7 +133,7 @@
         let request = ClientRequest {
             id,
             dispatcher: self.dispatcher,
-            idempotent: class.idempotent,
+            idempotency: class.idempotency,
             sent_at,
             response: status.map(|status| Response {
                 status,
@@ -154,6 +157,11 @@
         let work_us = (self.load.work_ms * 1e3 * (0.5 + self.rng.unit())) as u64;
         let headers = format!("Work-Hint: {work_us}\r\n");
         let expiry_s = self.load.expiry_ms as f64 / 1e3;
+        let key = format!("Idempotency-Key: {id}\r\n");
+        let headers = match class.idempotency {
+            Idempotency::IdempotentWithKey => headers + &key,
+            _ => headers,
+        };
         request(id, class.name, expiry_s, &headers, &work_us.to_string())
     }
 }
--- a/crates/cluster-testbed/src/testbed/dispatchers.rs
+++ b/crates/cluster-testbed/src/testbed/dispatchers.rs
@@ -113,9 +113,17 @@
             "ColdFrom": slow_start.initial_share, "ColdNs": slow_start.duration_ms * 1_000_000,
             "FallMultiple": multiple, "FallNs": slow_start.window_ms * 1_000_000,
         });
+        let fleet = &self.scenario.fleet;
+        if let Some(connect_ms) = fleet.connect_ms {
+            settings["Bounds"]["ConnectTimeoutNs"] = (connect_ms * 1_000_000).into();
+        }
+        if let Some(idle_ms) = fleet.idle_ms {
+            settings["Bounds"]["ConnIdleNs"] = (idle_ms * 1_000_000).into();
+        }
         for class in settings["Schemes"].as_array_mut().into_iter().flatten() {
             class["ExpiryNs"] = expiry_ns.into();
             class["SlaTimeNs"] = (expiry_ns / 2).into();
+            class["WindowNs"] = (self.scenario.load.retry_window().as_nanos() as u64).into();
         }
     }
 
--- a/crates/cluster-testbed/src/testbed/faults.rs
+++ b/crates/cluster-testbed/src/testbed/faults.rs
@@ -75,6 +75,8 @@
         FaultKind::Hang => Some(WorkerFault::Hang),
         FaultKind::Reset => Some(WorkerFault::Reset),
         FaultKind::LoseResponse => Some(WorkerFault::LoseResponse),
+        FaultKind::LateConnections => Some(WorkerFault::LateConnections),
+        FaultKind::LoseBeforeWindowEnd => Some(WorkerFault::LoseBeforeWindowEnd),
         _ => None,
     }
 }
@@ -109,7 +111,11 @@
                 .try_for_each(|number| self.start_and_wait(*number))?,
             FaultKind::AddWorkers => self.add_workers(fault.count.max(1))?,
             FaultKind::Drain => fault.targets.iter().for_each(|worker| self.drain(*worker)),
-            FaultKind::Hang | FaultKind::Reset | FaultKind::LoseResponse => {
+            FaultKind::Hang
+            | FaultKind::Reset
+            | FaultKind::LoseResponse
+            | FaultKind::LateConnections
+            | FaultKind::LoseBeforeWindowEnd => {
                 self.change_workers(fault, Edge::Begin);
             }
             FaultKind::Partition => self.cut_links(&targets, BOTH),
@@ -132,7 +138,11 @@
                 }
             }
             FaultKind::Pause => targets.iter().for_each(|number| self.resume(*number)),
-            FaultKind::Hang | FaultKind::Reset | FaultKind::LoseResponse => {
+            FaultKind::Hang
+            | FaultKind::Reset
+            | FaultKind::LoseResponse
+            | FaultKind::LateConnections
+            | FaultKind::LoseBeforeWindowEnd => {
                 self.change_workers(fault, Edge::End);
             }
             FaultKind::Partition | FaultKind::DropInbound | FaultKind::DropOutbound => {
--- a/crates/cluster-testbed/src/testbed/report.rs
+++ b/crates/cluster-testbed/src/testbed/report.rs
@@ -80,6 +80,7 @@
             begin: self.begin,
             end,
             timeout: Duration::from_millis(self.scenario.load.expiry_ms),
+            retry_window: self.scenario.load.retry_window(),
             workers: &self.workers,
             requests,
             outages: &self.outages,
--- a/crates/cluster-testbed/src/testbed/setup.rs
+++ b/crates/cluster-testbed/src/testbed/setup.rs
@@ -33,7 +33,10 @@
         window: Duration::from_millis(config.window_ms),
     };
     (0..scenario.fleet.workers)
-        .map(|_| Worker::start(scenario.fleet.slots, None, slow_start))
+        .map(|_| {
+            let window = scenario.load.retry_window();
+            Worker::start(scenario.fleet.slots, None, slow_start, window)
+        })
         .collect()
 }
 
--- a/crates/cluster-testbed/src/testbed/workers.rs
+++ b/crates/cluster-testbed/src/testbed/workers.rs
@@ -18,7 +18,8 @@
         let mut changed = Vec::new();
         for _ in 0..count {
             let slots = self.scenario.fleet.slots;
-            let worker = Worker::start(slots, Some(Instant::now()), slow_start)?;
+            let window = self.scenario.load.retry_window();
+            let worker = Worker::start(slots, Some(Instant::now()), slow_start, window)?;
             let started_ms = wall_clock_ms();
             let name = format!("w{:02}", self.workers.len());
             let mut endpoint = endpoint_json(&name, &worker.address, "ready");
--- a/crates/cluster-testbed/src/worker.rs
+++ b/crates/cluster-testbed/src/worker.rs
@@ -2,6 +2,7 @@
 //! connections early. The checker uses only its record of received and executed requests.
 use crate::error::TestbedError;
 use crate::stubs::{header_field, read_message};
+use rustix::event::{PollFd, PollFlags};
 use std::collections::HashSet;
 use std::io::{BufReader, Read, Write};
 use std::net::{TcpListener, TcpStream};
@@ -39,6 +40,10 @@
     Reset,
     /// Runs the request and closes the connection before the end of the response.
     LoseResponse,
+    /// Takes no new connections, so that those that are opened come up late.
+    LateConnections,
+    /// Runs a request with a key and closes the connection shortly before the end of the retry window.
+    LoseBeforeWindowEnd,
 }
 
 /// Request that a worker received.
@@ -61,6 +66,15 @@
     pub at: Instant,
 }
 
+/// What a worker does with the connection of a request that it runs.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum ResponseFate {
+    Sent,
+    Lost,
+    /// Lost shortly before the end of the retry window.
+    LostLate,
+}
+
 /// Record of what a worker received and executed, and the state of its queue.
 #[derive(Default)]
 pub struct Record {
@@ -72,6 +86,8 @@
     now_serving: u64,
     running: usize,
     faults: HashSet<WorkerFault>,
+    /// Connections that fill the queue of the listener.
+    queue: Vec<TcpStream>,
 }
 
 /// Simulated worker.
@@ -84,10 +100,22 @@
     pub warm_up_started_at: Option<Instant>,
     /// Slow start that applies if it warms up.
     pub slow_start: SlowStart,
+    /// Time for which it recognises a repeated request.
+    retry_window: Duration,
+    listener: TcpListener,
     record: Mutex<Record>,
     changed: Condvar,
 }
 
+/// Length of a listener's queue of connections.
+const BACKLOG: i32 = 128;
+/// Time after which an attempt to connect shows that the queue is full.
+const FULL_QUEUE_TIMEOUT: Duration = Duration::from_millis(50);
+/// Most connections that fill a queue of length 0.
+const MAX_FILLING_CONNECTIONS: usize = 4;
+/// Time between the loss of a connection and the end of the retry window that it precedes.
+const LOSS_LEAD: Duration = Duration::from_millis(600);
+
 const RESPONSE_HEAD: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 
 /// Returns a response chunk with one state line.
@@ -109,6 +137,7 @@
         slots: usize,
         warm_up_started_at: Option<Instant>,
         slow_start: SlowStart,
+        retry_window: Duration,
     ) -> Result<Arc<Worker>, TestbedError> {
         let listener = TcpListener::bind("127.0.0.1:0").map_err(TestbedError::Socket)?;
         let address = listener
@@ -120,16 +149,13 @@
             slots,
             warm_up_started_at,
             slow_start,
+            retry_window,
+            listener,
             record: Mutex::default(),
             changed: Condvar::new(),
         });
         let shared = worker.clone();
-        thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let shared = shared.clone();
-                thread::spawn(move || while shared.serve(&stream).is_some() {});
-            }
-        });
+        thread::spawn(move || shared.accept());
         Ok(worker)
     }
 
@@ -141,11 +167,22 @@
     /// Activates a fault.
     pub fn begin_fault(&self, fault: WorkerFault) {
         self.change(|record| record.faults.insert(fault));
+        if fault == WorkerFault::LateConnections {
+            self.fill_queue();
+        }
     }
 
     /// Deactivates a fault.
     pub fn end_fault(&self, fault: WorkerFault) {
-        self.change(|record| record.faults.remove(&fault));
+        if fault == WorkerFault::LateConnections {
+            let _ = rustix::net::listen(&self.listener, BACKLOG);
+        }
+        self.change(|record| {
+            record.faults.remove(&fault);
+            if fault == WorkerFault::LateConnections {
+                record.queue.clear();
+            }
+        });
     }
 
     fn lock(&self) -> MutexGuard<'_, Record> {
@@ -165,19 +202,62 @@
         })
     }
 
+    fn accept(self: Arc<Self>) {
+        let listener = &self.listener;
+        loop {
+            // Waits for a connection without accepting it.
+            let mut waiting = [PollFd::new(listener, PollFlags::IN)];
+            if rustix::event::poll(&mut waiting, None).is_err() {
+                continue;
+            }
+            self.wait_until_connections_are_taken();
+            let Ok((stream, _)) = listener.accept() else {
+                continue;
+            };
+            let shared = self.clone();
+            thread::spawn(move || while shared.serve(&stream).is_some() {});
+        }
+    }
+
+    /// Waits while connections are to come up late.
+    fn wait_until_connections_are_taken(&self) {
+        let is_late = |record: &mut Record| record.faults.contains(&WorkerFault::LateConnections);
+        drop(self.changed.wait_while(self.lock(), is_late));
+    }
+
+    /// Fills the queue of the listener, so that the system does not answer further connects.
+    fn fill_queue(&self) {
+        let _ = rustix::net::listen(&self.listener, 0);
+        let Ok(address) = self.listener.local_addr() else {
+            return;
+        };
+        let connect = || TcpStream::connect_timeout(&address, FULL_QUEUE_TIMEOUT).ok();
+        let queue: Vec<_> = std::iter::from_fn(connect)
+            .take(MAX_FILLING_CONNECTIONS)
+            .collect();
+        self.change(|record| record.queue = queue);
+    }
+
     /// Serves one request. Returns `None` to close the connection.
     fn serve(&self, mut stream: &TcpStream) -> Option<()> {
         let (head, body) = read_message(&mut BufReader::new(stream))?;
         let id = header_field(&head, "request-id")?;
         let work_s = work_s(&body)?;
-        let loses_response = self.wait_for_slot(stream, &id, work_s)?;
+        let arrived_at = Instant::now();
+        let has_key = header_field(&head, "idempotency-key").is_some();
+        let fate = self.wait_for_slot(stream, &id, work_s)?;
         let started =
             stream.write_all(format!("{RESPONSE_HEAD}{}", state_chunk(&id, "started")).as_bytes());
         thread::sleep(Duration::from_secs_f64(
             work_s / self.capacity_share(Instant::now()),
         ));
         self.change(|record| record.running -= 1);
-        if loses_response {
+        if fate == ResponseFate::LostLate && has_key {
+            let lost_at = arrived_at + self.retry_window.saturating_sub(LOSS_LEAD);
+            thread::sleep(lost_at.saturating_duration_since(Instant::now()));
+            return None;
+        }
+        if fate == ResponseFate::Lost {
             return None;
         }
         let last = format!("{}0\r\n\r\n", state_chunk(&id, "done"));
@@ -186,9 +266,9 @@
             .ok()
     }
 
-    /// Records a request and waits until it may run. Returns whether its response is to be lost, or `None` if a fault
+    /// Records a request and waits until it may run. Returns what is to become of its response, or `None` if a fault
     /// closes the connection.
-    fn wait_for_slot(&self, mut stream: &TcpStream, id: &str, work_s: f64) -> Option<bool> {
+    fn wait_for_slot(&self, mut stream: &TcpStream, id: &str, work_s: f64) -> Option<ResponseFate> {
         let mut record = self.record.lock().ok()?;
         record.received.push(ReceivedRequest {
             at: Instant::now(),
@@ -218,9 +298,15 @@
             id: id.to_string(),
             at: Instant::now(),
         });
-        let loses_response = record.faults.contains(&WorkerFault::LoseResponse);
+        let fate = if record.faults.contains(&WorkerFault::LoseResponse) {
+            ResponseFate::Lost
+        } else if record.faults.contains(&WorkerFault::LoseBeforeWindowEnd) {
+            ResponseFate::LostLate
+        } else {
+            ResponseFate::Sent
+        };
         drop(record);
         self.changed.notify_all();
-        Some(loses_response)
+        Some(fate)
     }
 }
--- a/crates/rosewalld/tests/cluster.rs
+++ b/crates/rosewalld/tests/cluster.rs
@@ -181,6 +181,35 @@
     run_without_violations(&scenario);
 }
 
+/// Guards against a repeat that is decided inside its retry window and written after it. Workers lose connections before
+/// the window ends, and the connections of many repeats come up a second late.
+#[test]
+fn no_repeat_reaches_a_worker_after_its_retry_window() {
+    let late = (0..8).map(|at| {
+        Fault::new(800 + 1_000 * at, FaultKind::LateConnections, 0..8).with_duration(800)
+    });
+    let lost = Fault::new(500, FaultKind::LoseBeforeWindowEnd, 0..8).with_duration(9_000);
+    let mut scenario = scenario(3, 10.0, late.chain([lost]).collect());
+    scenario.fleet.membership = false;
+    scenario.fleet.connect_ms = Some(2_000);
+    // Few connections are reused.
+    scenario.fleet.idle_ms = Some(50);
+    scenario.load = Load {
+        work_ms: 20.0,
+        expiry_ms: 4_000,
+        retry_window_ms: Some(1_500),
+        ..scenario.load
+    };
+    let report = run(&scenario);
+    assert_eq!(report.violations, []);
+    assert!(
+        report.succeeded > 50 && report.failed > 0,
+        "{} succeeded, {} failed",
+        report.succeeded,
+        report.failed
+    );
+}
+
 /// The dispatchers are configured with a larger budget than the one that is checked.
 #[test]
 fn an_exceeded_warm_up_budget_is_reported_as_a_violation() {
