--- a/crates/runtime/src/worker/mod.rs
+++ b/crates/runtime/src/worker/mod.rs
@@ -2,6 +2,7 @@
 mod attempt;
 mod connect;
 mod health_check;
+mod send;
 mod send_permit;
 
 pub use attempt::{AttemptConnection, send_attempt};
--- a/crates/simulation/src/network.rs
+++ b/crates/simulation/src/network.rs
@@ -2,14 +2,15 @@
 //! writes may be partial; faults reset links and make hosts unreachable. A link has two sides and
 //! two directions: side 0 is the connecting one, and direction 0 carries the bytes that it writes.
 mod datagram;
+mod late_connection;
 mod link;
 mod listener;
 mod stream;
 
 use crate::fault_interval::FaultInterval;
 use crate::kernel::{Event, Kernel, Owner};
-use crate::time::MS;
 pub use datagram::{DatagramConditions, VirtualDatagramSocket};
+pub use late_connection::random_connection_delay;
 pub use link::DirectionCounters;
 use link::{Arrival, Link, Segment};
 use listener::ListenerState;
@@ -23,30 +24,10 @@
 use std::rc::Rc;
 use std::task::Poll;
 pub use stream::VirtualStream;
-use stream::{BUFFER_BYTES, UNACCEPTED_BUFFER_BYTES};
 
 /// The number of a host; the host of a dispatcher has the same number as its [`Owner`].
 pub type HostId = usize;
 
-/// Probability that a connection that comes up late does so within [`SHORT_CONNECTION_DELAY`].
-const SHORT_DELAY_SHARE: f64 = 0.7;
-/// Upper bound of most delays: a connect timeout, as longer delays end the attempt.
-const SHORT_CONNECTION_DELAY: Nanos = 250 * MS;
-/// Upper bound of all delays.
-const MAX_CONNECTION_DELAY: Nanos = 1500 * MS;
-
-/// Returns the time by which a connection comes up late.
-pub fn random_connection_delay(kernel: &Kernel) -> Nanos {
-    kernel.random(|rng| {
-        let longest = if rng.chance(SHORT_DELAY_SHARE) {
-            SHORT_CONNECTION_DELAY
-        } else {
-            MAX_CONNECTION_DELAY
-        };
-        rng.range(1, longest)
-    })
-}
-
 struct Host {
     owner: Owner,
     /// Whether all segments to and from this host are lost.
@@ -168,16 +149,6 @@
         self.state.borrow_mut().hosts[host].unreachable = unreachable;
     }
 
-    /// Delays connections to a host for an interval.
-    pub fn delay_connections(&self, host: HostId, interval: FaultInterval) {
-        self.state.borrow_mut().hosts[host].late_connections = interval;
-    }
-
-    /// Limits the bytes that a host holds of connections that it has not accepted.
-    pub fn limit_unaccepted_bytes(&self, host: HostId, until: Nanos) {
-        self.state.borrow_mut().hosts[host].small_window_until = until;
-    }
-
     /// Listens at an address; replaces an earlier listener there.
     pub fn listen(
         self: &Rc<Self>,
@@ -297,24 +268,6 @@
         state.links.iter().filter_map(side_at_host).collect()
     }
 
-    /// Returns the delay of a reply to a connect.
-    fn connection_delay(&self, link: usize, reply: &Segment) -> Nanos {
-        let Segment::ConnectResult(true) = reply else {
-            return 0;
-        };
-        let state = self.state.borrow();
-        let Some(entry) = state.links.get(link) else {
-            return 0;
-        };
-        let late_connections = state.hosts[entry.hosts[1]].late_connections;
-        drop(state);
-        if late_connections.affects_now(&self.kernel) {
-            random_connection_delay(&self.kernel)
-        } else {
-            0
-        }
-    }
-
     fn send(&self, link: usize, direction: usize, segment: Segment) {
         self.send_after(0, link, direction, segment);
     }
@@ -374,15 +327,6 @@
 }
 
 impl State {
-    /// Returns how many unread bytes one direction of a link may hold.
-    fn buffer_bytes(&self, now: Nanos, entry: &Link) -> usize {
-        if entry.in_backlog && now < self.hosts[entry.hosts[1]].small_window_until {
-            UNACCEPTED_BUFFER_BYTES
-        } else {
-            BUFFER_BYTES
-        }
-    }
-
     /// Applies the next segment in transit; returns `None` if the link or the segment no longer
     /// exists.
     fn receive_next(&mut self, now: Nanos, link: usize, direction: usize) -> Option<Arrival> {
