--- a/review/standin-2/src/cases/mod.rs
+++ b/review/standin-2/src/cases/mod.rs
@@ -1,10 +1,12 @@
 mod full;
+mod reload;
 
 use crate::{Finding, Run};
 
 pub fn run(case: &str, run: &Run) -> Result<Finding, String> {
     match case {
         "full" => full::run(run),
+        "reload" => reload::run(run),
         _ => Err(format!("no case {case}")),
     }
 }
