--- a/review/standin-2/src/cases/mod.rs
+++ b/review/standin-2/src/cases/mod.rs
@@ -1,4 +1,5 @@
 mod full;
+mod pipeline;
 mod reload;
 
 use crate::{Finding, Run};
@@ -7,6 +8,7 @@
     match case {
         "full" => full::run(run),
         "reload" => reload::run(run),
+        "pipeline" => pipeline::run(run),
         _ => Err(format!("no case {case}")),
     }
 }
