Review case 9: a drain is not heard while discovery takes 1.5 s for an answer

Cause: where lists are pushed, a call for the list is given up 1 s after it was made, so no answer of a slow agent is ever read.

Change: the case with its script. The project's code is not changed.

--- a/review/standin-2/src/cases/mod.rs
+++ b/review/standin-2/src/cases/mod.rs
@@ -1,6 +1,7 @@
 mod full;
 mod pipeline;
 mod reload;
+mod slow_agent;
 
 use crate::{Finding, Run};
 
@@ -9,6 +10,7 @@
         "full" => full::run(run),
         "reload" => reload::run(run),
         "pipeline" => pipeline::run(run),
+        "slow-agent" => slow_agent::run(run),
         _ => Err(format!("no case {case}")),
     }
 }
