Review case 10: long request ids fill the memory, and the dispatcher is killed

Cause: the ids of the last 8,192 requests that were sent are kept whole and are not counted by the limits on memory.

The project's code is not changed.

--- a/review/standin-2/src/cases/mod.rs
+++ b/review/standin-2/src/cases/mod.rs
@@ -1,4 +1,5 @@
 mod full;
+mod long_ids;
 mod pipeline;
 mod reload;
 mod slow_agent;
@@ -11,6 +12,7 @@
         "reload" => reload::run(run),
         "pipeline" => pipeline::run(run),
         "slow-agent" => slow_agent::run(run),
+        "long-ids" => long_ids::run(run),
         _ => Err(format!("no case {case}")),
     }
 }
