Review case 10: a new process sends by its old list while discovery is down

Cause: a cached list makes a new process ready, and nothing limits for how long it sends by that list alone; at this site what the agent has counts as told from the first moment.

The project's code is not changed.

--- a/review/standin-2/src/cases/mod.rs
+++ b/review/standin-2/src/cases/mod.rs
@@ -2,6 +2,7 @@
 mod pipeline;
 mod reload;
 mod slow_agent;
+mod stale_start;
 
 use crate::client::Outcome;
 use crate::{Finding, Run};
@@ -12,6 +13,7 @@
         "reload" => reload::run(run),
         "pipeline" => pipeline::run(run),
         "slow-agent" => slow_agent::run(run),
+        "stale-start" => stale_start::run(run),
         _ => Err(format!("no case {case}")),
     }
 }
