--- a/review/standin-2/src/client.rs
+++ b/review/standin-2/src/client.rs
@@ -46,6 +46,7 @@
 #[derive(Clone, Debug)]
 pub struct Outcome {
     pub id: String,
+    pub class: &'static str,
     pub sent: Duration,
     /// Status and time of the answer; `None` if there was none.
     pub answer: Option<(u16, Duration)>,
@@ -61,6 +62,7 @@
 ) -> Outcome {
     let mut outcome = Outcome {
         id: request.id.clone(),
+        class: request.class,
         sent: record.now(),
         answer: None,
         why: String::new(),
--- a/review/standin-2/src/worker.rs
+++ b/review/standin-2/src/worker.rs
@@ -2,7 +2,8 @@
 use crate::http::{Connection, Message};
 use crate::record::Record;
 use std::collections::HashMap;
-use std::net::{SocketAddr, TcpListener};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -107,6 +108,22 @@
 pub struct Worker {
     pub name: String,
     pub address: SocketAddr,
+    process: Arc<Process>,
+}
+
+/// The process of a worker: what ends with it.
+struct Process {
+    queue: Queue,
+    ended: AtomicBool,
+    streams: Mutex<Vec<TcpStream>>,
+    /// Requests that it has taken and not answered.
+    held: Mutex<Vec<Posting>>,
+}
+
+impl Process {
+    fn has_ended(&self) -> bool {
+        self.ended.load(Ordering::SeqCst)
+    }
 }
 
 impl Worker {
@@ -119,27 +136,37 @@
     ) -> Worker {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let address = listener.local_addr().expect("an address");
+        let process = Arc::new(Process {
+            queue: Queue {
+                size,
+                turns: Mutex::default(),
+                changed: Condvar::new(),
+            },
+            ended: AtomicBool::new(false),
+            streams: Mutex::default(),
+            held: Mutex::default(),
+        });
         let worker = Worker {
             name: name.to_string(),
             address,
+            process: process.clone(),
         };
         let (name, record, log) = (name.to_string(), record.clone(), log.clone());
-        let queue = Arc::new(Queue {
-            size,
-            turns: Mutex::default(),
-            changed: Condvar::new(),
-        });
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
+                if process.has_ended() {
+                    return;
+                }
+                process.streams.lock().unwrap().extend(stream.try_clone());
                 let (name, record, log) = (name.clone(), record.clone(), log.clone());
-                let (behaviour, queue) = (behaviour.clone(), queue.clone());
+                let (behaviour, process) = (behaviour.clone(), process.clone());
                 thread::spawn(move || {
                     serve(
                         Connection::new(stream),
                         &name,
                         &record,
                         &log,
-                        &queue,
+                        &process,
                         &behaviour,
                     )
                 });
@@ -148,6 +175,32 @@
         worker
     }
 
+    /// Ends the process as soon as it holds a request of this class, or after `limit`: it refuses
+    /// connections, those that are open end, and what it holds is lost. Returns the ids of what it held.
+    pub fn end_while_busy(&self, class: &str, limit: Duration) -> Vec<String> {
+        let until = Instant::now() + limit;
+        let is_busy = || {
+            self.process
+                .held
+                .lock()
+                .unwrap()
+                .iter()
+                .any(|posting| posting.class == class)
+        };
+        while !is_busy() && Instant::now() < until {
+            thread::sleep(Duration::from_millis(1));
+        }
+        let held = self.process.held.lock().unwrap();
+        let held = held.iter().map(|posting| posting.id.clone()).collect();
+        self.process.ended.store(true, Ordering::SeqCst);
+        for stream in self.process.streams.lock().unwrap().drain(..) {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+        // Lets the thread that accepts drop its listener.
+        let _ = TcpStream::connect(self.address);
+        held
+    }
+
     /// Entry of the worker in the list of discovery.
     pub fn entry(&self, site: &str, block: u16, health: &str) -> String {
         format!(
@@ -163,7 +216,7 @@
     name: &str,
     record: &Record,
     log: &Log,
-    queue: &Queue,
+    process: &Process,
     behaviour: &Behaviour,
 ) {
     while let Ok(request) = connection.read(None) {
@@ -175,7 +228,7 @@
             continue;
         }
         let posting = note(&request, name, record, log);
-        let place = queue.take();
+        let place = process.queue.take();
         let reply = place.map_or(Reply::Full, |_| behaviour(&posting));
         record.line_at(
             posting.last_byte,
@@ -188,10 +241,23 @@
                 posting.timeout
             ),
         );
-        let begin = || place.into_iter().for_each(|place| queue.begin(place));
-        let answered = answer(&mut connection, &posting, reply, begin, record, log);
+        process.held.lock().unwrap().push(posting.clone());
+        let answered = answer(
+            &mut connection,
+            &posting,
+            reply,
+            place,
+            process,
+            record,
+            log,
+        );
+        process
+            .held
+            .lock()
+            .unwrap()
+            .retain(|held| held.id != posting.id);
         if place.is_some() {
-            queue.end();
+            process.queue.end();
         }
         if answered.is_none() {
             return;
@@ -238,12 +304,14 @@
     id.chars().take(24).collect()
 }
 
-/// Answers a posting. Returns `None` if the connection has ended; the job runs in any case.
+/// Answers a posting once its job has begun and ended. Returns `None` if the connection or the worker has
+/// ended; the job runs also where only the connection has.
 fn answer(
     connection: &mut Connection,
     posting: &Posting,
     reply: Reply,
-    begin: impl FnOnce(),
+    place: Option<usize>,
+    process: &Process,
     record: &Record,
     log: &Log,
 ) -> Option<()> {
@@ -260,7 +328,9 @@
     match reply {
         Reply::Full => full(connection, posting, record, log),
         Reply::ShedBegun => {
-            begin();
+            place
+                .into_iter()
+                .for_each(|place| process.queue.begin(place));
             thread::sleep(posting.run);
             effect("ran and then shed");
             full(connection, posting, record, log)
@@ -268,9 +338,14 @@
         Reply::Done => {
             let head = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n";
             let head = connection.write(head).ok();
-            begin();
+            place
+                .into_iter()
+                .for_each(|place| process.queue.begin(place));
             let started = line(connection, posting, "started", "");
             thread::sleep(posting.run);
+            if process.has_ended() {
+                return None;
+            }
             effect("ran");
             let end = line(
                 connection,
