A new discovery service is called until it answers, by one state machine

Cause: the followers of the old and of the new address waited for permits on one channel. The policy gives one permit for all failures and none while a watch is open, and the old follower was polled first.

Change: crates/engine/src/discovery owns both services.

--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -2,7 +2,7 @@
 //! opens a socket.
 //!
 //! [`engine`] passes inputs to the policy and turns its actions into effects. [`endpoints`] holds
-//! the known workers. [`pool`] decides which connection is reused, [`limits`] which client may
+//! the known workers, [`discovery`] decides when their list is requested. [`pool`] decides which connection is reused, [`limits`] which client may
 //! connect. [`config`] reads the configuration file.
 
 /// Re-exported for use by [`invariant!`].
@@ -12,6 +12,7 @@
 
 pub mod config;
 pub mod counters;
+pub mod discovery;
 pub mod endpoints;
 pub mod engine;
 pub mod limits;
--- a/crates/rosewalld/tests/teardown.rs
+++ b/crates/rosewalld/tests/teardown.rs
@@ -122,6 +122,35 @@
     assert_first_worker_is_avoided(&fleet.daemon, &fleet.workers);
 }
 
+/// Guards against a new discovery service that is never called again, once it and the old one have failed.
+#[test_case("pushed"; "a pushed list")]
+#[test_case("on_request"; "a polled list")]
+fn a_drain_is_applied_after_the_discovery_of_a_new_configuration_was_out_of_reach(mode: &str) {
+    let fleet = Fleet::new(mode);
+    let [a, b] = &fleet.workers;
+    let other = Discovery::start(Vec::new());
+    other.shut_down();
+    let mut config = configuration(&other.address, 1024);
+    config["settings"]["RegistryMode"] = mode.into();
+    fleet
+        .daemon
+        .reload(&config.to_string(), "a new configuration");
+    other.wait_for_watches(1);
+    fleet.discovery.shut_down();
+    fleet.daemon.wait_for_counter("watches_failed", 2);
+    let reachable_at = Instant::now();
+    other.restart(vec![
+        endpoint_json("a", &a.address, "draining"),
+        endpoint_json("b", &b.address, "ready"),
+    ]);
+    assert!(
+        reachable_at.elapsed() < Duration::from_secs(6),
+        "list applied after {:?}",
+        reachable_at.elapsed()
+    );
+    assert_first_worker_is_avoided(&fleet.daemon, &fleet.workers);
+}
+
 /// The time limit for the rest of a started answer is shorter than that for the start of an answer.
 #[test]
 fn a_truncated_list_is_requested_again_at_once() {
--- a/crates/runtime/src/engine.rs
+++ b/crates/runtime/src/engine.rs
@@ -42,8 +42,8 @@
     context: Rc<Context<R>>,
     events: Receiver<EngineEvent<R>>,
     engine: Engine,
-    /// Channel for one permit per watch; present if the endpoint list is polled.
-    watch_permits: Option<Sender<()>>,
+    /// Channel for the permits of the policy to call discovery.
+    watch_permits: Sender<()>,
     /// Channel for the answer of each unanswered request.
     replies: FxHashMap<RequestId, Sender<Answer>>,
     attempts: FxHashMap<AttemptKey, RunningAttempt>,
@@ -52,12 +52,12 @@
 }
 
 impl<R: Runtime> EngineDriver<R> {
-    /// Creates a driver. `watch_permits` is required if the endpoint list is polled.
+    /// Creates a driver, which passes the permits of the policy to `watch_permits`.
     pub fn new(
         context: Rc<Context<R>>,
         events: Receiver<EngineEvent<R>>,
         engine: Engine,
-        watch_permits: Option<Sender<()>>,
+        watch_permits: Sender<()>,
     ) -> Self {
         EngineDriver {
             context,
@@ -312,8 +312,7 @@
     }
 
     fn permit_watch(&self) {
-        if let Some(permits) = &self.watch_permits {
-            let _ = permits.try_send(());
-        }
+        // The follower of the list outlives this task except at process exit.
+        let _ = self.watch_permits.try_send(());
     }
 }
--- a/crates/runtime/src/node.rs
+++ b/crates/runtime/src/node.rs
@@ -16,8 +16,9 @@
 
 use rosewall_cluster::cluster::Cluster;
 use rosewall_cluster::error::ClusterError;
-use rosewall_engine::config::{Config, EndpointsMode, FINAL_ANSWERS_RESERVE};
+use rosewall_engine::config::{Config, FINAL_ANSWERS_RESERVE};
 use rosewall_engine::counters::Counters;
+use rosewall_engine::discovery::DiscoveryClient;
 use rosewall_engine::endpoints::EndpointTable;
 use rosewall_engine::engine::Engine;
 use rosewall_protocol::discovery::{EndpointList, decode_endpoint_list};
@@ -94,20 +95,22 @@
         let connect_timeout = config.runtime.connect_timeout;
         let endpoints = endpoint_table(&config);
         let engine = Engine::new(dispatcher, counters, connect_timeout, endpoints);
-        let is_polled = config.runtime.endpoints_mode == EndpointsMode::Polled;
-        let (permit_sender, permits) = async_channel::unbounded();
-        let watch_permits = is_polled.then_some(permit_sender);
+        let (watch_permits, permits) = async_channel::unbounded();
         let mut engine = EngineDriver::new(context.clone(), events, engine, watch_permits);
-        let known_version =
-            (is_polled && !cached_list.endpoints.is_empty()).then_some(cached_list.version);
+        let known_version = (!cached_list.endpoints.is_empty()).then_some(cached_list.version);
         engine.load_cached(cached_list);
         let engine = context.runtime.spawn(engine.run());
         let (discovery_addresses, new_addresses) = async_channel::unbounded();
+        let client = DiscoveryClient::new(
+            config.runtime.endpoints_mode,
+            config.discovery,
+            known_version,
+            config.seed,
+        );
         let list = FollowedList {
-            address: config.discovery,
+            client,
             new_addresses,
-            permits: is_polled.then_some(permits),
-            known_version,
+            permits,
         };
         let follower = context.runtime.spawn(follow(context.clone(), list));
         let receiving = context.runtime.spawn(receive_datagrams(context.clone()));
--- a/src/mutation.rs
+++ b/src/mutation.rs
@@ -43,6 +43,8 @@
     IgnoreSendDeadline,
     /// An attempt that waited for its connection tells its worker the time that was left before.
     StateOutdatedTimeout,
+    /// After a reload, the new discovery service is not called again once it has failed.
+    AbandonNewDiscovery,
     // Protocol between dispatchers.
     /// The time for which this process was paused counts as silence of the other members.
     IgnorePause,
--- a/src/policy/endpoint_list.rs
+++ b/src/policy/endpoint_list.rs
@@ -9,15 +9,27 @@
 #[cfg(test)]
 mod tests;
 
-/// Backoff after the first failed poll, in nanoseconds. Doubles with each consecutive failure.
+/// Mean backoff after the first failed poll, in nanoseconds. Doubles with each consecutive failure.
 const POLL_BACKOFF: f64 = 0.5 * SECOND;
 
-/// Maximum number of doublings of the backoff.
+/// Maximum mean backoff. The longest, half as much again, leaves 1.5 s of the 6 s after which a
+/// dispatcher is accountable for a change at a service that can be reached.
+const MAX_POLL_BACKOFF: f64 = 4.0 * SECOND;
+
+/// Maximum number of doublings, which exceeds the maximum backoff.
 const MAX_POLL_BACKOFF_DOUBLINGS: u32 = 3;
 
 /// Lower bound of the size of a worker.
 const MIN_SIZE: f64 = 0.01;
 
+/// Returns the time from a failed poll, before which `failures` others have failed in a row, to the
+/// next. `unit` is random in 0 to 1, so that dispatchers that started together do not poll together.
+pub fn poll_backoff(failures: u32, unit: f64) -> Nanos {
+    let doublings = failures.min(MAX_POLL_BACKOFF_DOUBLINGS);
+    let mean = (POLL_BACKOFF * f64::from(1 << doublings)).min(MAX_POLL_BACKOFF);
+    (mean * (0.5 + unit)) as Nanos
+}
+
 impl Dispatcher {
     /// Requests the endpoint list if the settings require it and a poll is due.
     pub(super) fn poll_endpoints(&mut self, now: Nanos, actions: &mut Vec<Action>) {
@@ -62,14 +74,11 @@
         self.poll_endpoints(now, actions);
     }
 
-    /// Schedules the next poll after a failed one. The poll has its own timer and a random backoff,
-    /// so that dispatchers that started together do not poll together.
+    /// Schedules the next poll after a failed one, with a timer of its own.
     fn schedule_poll(&mut self, now: Nanos, actions: &mut Vec<Action>) {
-        let doublings = self.poll_failures.min(MAX_POLL_BACKOFF_DOUBLINGS);
-        let backoff = POLL_BACKOFF * f64::from(1 << doublings);
+        self.next_poll_at = now + poll_backoff(self.poll_failures, self.rng.unit());
         self.poll_failures += 1;
         self.watching_endpoints = false;
-        self.next_poll_at = now + (backoff * (0.5 + self.rng.unit())) as Nanos;
         actions.push(Action::SetTimer {
             at: self.next_poll_at,
             token: POLL_TIMER,
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -35,6 +35,7 @@
 mod worker_selection;
 
 pub use dispatcher::Dispatcher;
+pub use endpoint_list::poll_backoff;
 
 #[cfg(test)]
 pub(crate) mod test_support;
