A cached list that a silent agent has not confirmed is used within the grace of drains only

Cause: Engine::apply_list took a cached list that names a worker for as good as a delivered one; it made the process ready, and nothing limited for how long it was used.

Change: the engine keeps the status of its list. Where lists are pushed, the cached one is used within the grace less 0.25 s, then its workers count as draining until discovery answers or 30 s have passed; /healthz answers 503 until then, for 9 s at most. Polled lists and starts with discovery up are as before.

The test a_cached_list_makes_the_daemon_ready_without_discovery asserted the fault (ready at once). It is replaced by one that asserts not ready at first, served within the grace, ready within 10 s, and by the old assertion for a polled list.

--- a/crates/engine/src/config/runtime_settings.rs
+++ b/crates/engine/src/config/runtime_settings.rs
@@ -55,6 +55,8 @@
     pub slow_start_duration: Nanos,
     /// Delivery mode of endpoint lists; pushed by default.
     pub endpoints_mode: EndpointsMode,
+    /// Time for which new work may go to a worker after it was reported as draining; 0 by default.
+    pub drain_grace: Nanos,
     /// Names of the values of a load report, in the order in which workers send them.
     pub report_fields: Vec<String>,
     /// Rank of this dispatcher according to the settings; `None` if it is missing or cannot be
@@ -75,6 +77,7 @@
             shutdown_timeout: shutdown_timeout(settings),
             slow_start_duration: nanos("slow_start.duration").unwrap_or(0),
             endpoints_mode: endpoints_mode.unwrap_or(EndpointsMode::Pushed),
+            drain_grace: nanos("endpoints.drain_grace").unwrap_or(0),
             report_fields: report_fields.map_or_else(Vec::new, |fields| split_list(fields)),
             rank: read_setting(settings, "me").ok(),
         }
--- a/crates/engine/src/config/tests.rs
+++ b/crates/engine/src/config/tests.rs
@@ -100,6 +100,7 @@
             connect_timeout: 250_000_000,
             idle_timeout: 5_000_000_000,
             shutdown_timeout: 3_400_000_000,
+            drain_grace: 0,
             slow_start_duration: 0,
             endpoints_mode: EndpointsMode::Pushed,
             report_fields: Vec::new(),
@@ -114,6 +115,11 @@
     let text = CONFIG_WITH_PEERS
         .replacen(r#""Bounds": {"#, bounds, 1)
         .replacen("pushed", "on_request", 1)
+        .replacen(
+            r#""Contract": {"#,
+            r#""Contract": {"StopSendingWithinNs": 9, "#,
+            1,
+        )
         .replacen(r#""Fields": []"#, r#""Fields": ["depth", "err_ps"]"#, 1);
     assert_eq!(
         parse(&text).runtime,
@@ -121,6 +127,7 @@
             connect_timeout: 7,
             idle_timeout: 8,
             shutdown_timeout: 400_000_001,
+            drain_grace: 9,
             slow_start_duration: 1,
             endpoints_mode: EndpointsMode::Polled,
             report_fields: vec!["depth".into(), "err_ps".into()],
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -4,6 +4,7 @@
 //! Only the engine passes events to the [`Dispatcher`]. Events caused by the dispatcher's actions
 //! are queued until the current event is handled.
 mod attempts;
+mod cached_list;
 mod deadlines;
 mod interface;
 mod requests;
@@ -11,11 +12,13 @@
 mod tests;
 mod timers;
 
+pub use cached_list::CachedListUse;
 pub use interface::{Effect, Input, OutboundAttempt};
 
 use crate::counters::Counters;
 use crate::endpoints::{EndpointTable, ListUpdate};
 use crate::invariant;
+use cached_list::ListStatus;
 use requests::{ActiveRequest, RequestTable};
 use rosewall::mutation::{Mutation, is_active};
 use rosewall::policy::Dispatcher;
@@ -35,7 +38,7 @@
     dispatcher: Dispatcher,
     counters: Rc<Counters>,
     connect_timeout: Nanos,
-    has_endpoint_list: bool,
+    list_status: ListStatus,
     workers: EndpointTable,
     requests: RequestTable,
     timers: TimerQueue,
@@ -59,7 +62,7 @@
             dispatcher,
             counters,
             connect_timeout,
-            has_endpoint_list: false,
+            list_status: ListStatus::Missing,
             workers,
             requests: RequestTable::default(),
             timers: TimerQueue::default(),
@@ -74,9 +77,9 @@
         self.timers.next()
     }
 
-    /// Returns whether an endpoint list is known, so that requests can be served.
+    /// Returns whether clients may be sent to this dispatcher.
     pub fn is_ready(&self) -> bool {
-        self.has_endpoint_list
+        self.list_status.is_ready()
     }
 
     /// Returns the number of requests that are not answered or have an attempt in flight.
@@ -89,11 +92,6 @@
         self.workers.address_of(worker).map(|known| known.address)
     }
 
-    /// Applies the cached endpoint list. Must be called before any input is handled.
-    pub fn load_cached(&mut self, now: Nanos, list: EndpointList, effects: &mut Vec<Effect>) {
-        self.apply_list(now, ListScope::Cached, list, effects);
-    }
-
     /// Handles an input and appends the resulting effects to `effects`.
     pub fn handle(&mut self, now: Nanos, input: Input, effects: &mut Vec<Effect>) {
         match input {
@@ -111,12 +109,7 @@
                 progress,
             } => self.attempt_progressed(now, request_id, attempt_index, progress, effects),
             Input::EndpointList(list) => {
-                let scope = if list.is_snapshot {
-                    ListScope::Snapshot
-                } else {
-                    ListScope::Delta
-                };
-                self.apply_list(now, scope, list, effects);
+                self.list_received(now, list, effects);
             }
             Input::ShutDown(by) => self.shut_down(now, by, effects),
             Input::EndpointListFailed => {
@@ -207,15 +200,26 @@
         self.requests.remove_if_complete(request_id);
     }
 
-    fn apply_list(
+    fn list_received(&mut self, now: Nanos, list: EndpointList, effects: &mut Vec<Effect>) {
+        let scope = if list.is_snapshot {
+            ListScope::Snapshot
+        } else {
+            // Endpoints that the delta does not name are as in the cached list.
+            self.use_cached_list(now, effects);
+            ListScope::Delta
+        };
+        self.list_status = ListStatus::Usable;
+        let update = self.workers.apply(now, list);
+        self.apply_update(now, scope, update, effects);
+    }
+
+    fn apply_update(
         &mut self,
         now: Nanos,
         scope: ListScope,
-        list: EndpointList,
+        update: ListUpdate,
         effects: &mut Vec<Effect>,
     ) {
-        self.has_endpoint_list |= scope != ListScope::Cached || !list.endpoints.is_empty();
-        let update = self.workers.apply(now, list);
         self.cancel_unsent_after(&update, effects);
         let stale = update.stale_connections.into_iter();
         effects.extend(stale.map(|worker| Effect::EvictIdle {
--- a/crates/engine/src/engine/deadlines.rs
+++ b/crates/engine/src/engine/deadlines.rs
@@ -39,6 +39,9 @@
             Timer::Policy(token) => self.dispatch_event(now, Event::TimerFired { token }, effects),
             Timer::Deadline(request_id) => self.deadline_reached(now, request_id, effects),
             Timer::AnswerOverdue(request_id) => self.answer_overdue(now, request_id, effects),
+            Timer::WithholdCachedList => self.withhold_cached_list(now, effects),
+            Timer::ReportReady => self.report_ready(),
+            Timer::UseCachedList => self.use_cached_list(now, effects),
         }
         true
     }
--- a/crates/engine/src/engine/tests.rs
+++ b/crates/engine/src/engine/tests.rs
@@ -1,5 +1,5 @@
 //! Tests of the engine: the effects of inputs at given times.
-use super::{Effect, Engine, Input};
+use super::{CachedListUse, Effect, Engine, Input};
 use crate::counters::Counters;
 use crate::endpoints::EndpointTable;
 use rosewall::SettingsMap;
@@ -44,7 +44,7 @@
     settings
 }
 
-fn worker(state: EndpointState) -> DiscoveredEndpoint {
+pub(super) fn worker(state: EndpointState) -> DiscoveredEndpoint {
     DiscoveredEndpoint {
         host: "a".into(),
         address: Some(([127, 0, 0, 1], 9).into()),
@@ -58,13 +58,22 @@
 }
 
 /// Engine under test, with effects described as short texts.
-struct Fixture {
-    engine: Engine,
+pub(super) struct Fixture {
+    pub(super) engine: Engine,
 }
 
 impl Fixture {
     /// Creates an engine with one class of this idempotency, and one worker in this state or none.
     fn new(idempotency: &str, worker_state: Option<EndpointState>) -> Self {
+        let endpoints = worker_state.into_iter().map(worker).collect();
+        Fixture::with_cached_list(idempotency, endpoints, CachedListUse::UntilChanged)
+    }
+
+    pub(super) fn with_cached_list(
+        idempotency: &str,
+        endpoints: Vec<DiscoveredEndpoint>,
+        usage: CachedListUse,
+    ) -> Self {
         let dispatcher = Dispatcher::start(0, 1, &settings(idempotency)).unwrap();
         let mut engine = Engine::new(
             dispatcher,
@@ -75,9 +84,9 @@
         let list = EndpointList {
             version: 1,
             is_snapshot: true,
-            endpoints: worker_state.into_iter().map(worker).collect(),
+            endpoints,
         };
-        engine.load_cached(0, list, &mut Vec::new());
+        engine.load_cached(0, list, usage, &mut Vec::new());
         Fixture { engine }
     }
 
@@ -85,7 +94,7 @@
         Fixture::new("non-idempotent", Some(EndpointState::Ready))
     }
 
-    fn handle(&mut self, at_ms: u64, input: Input) -> Vec<String> {
+    pub(super) fn handle(&mut self, at_ms: u64, input: Input) -> Vec<String> {
         let mut effects = Vec::new();
         self.engine.handle(at_ms * MILLISECOND, input, &mut effects);
         effects.into_iter().map(describe).collect()
@@ -93,6 +102,15 @@
 
     /// Handles a request with client id `id` that arrives at 1 ms.
     fn send_request(&mut self, request_id: RequestId, id: &str) -> Vec<String> {
+        self.send_request_at(1, request_id, id)
+    }
+
+    pub(super) fn send_request_at(
+        &mut self,
+        at_ms: u64,
+        request_id: RequestId,
+        id: &str,
+    ) -> Vec<String> {
         let request = ClientRequest {
             id: id.into(),
             timeout: REQUEST_TIMEOUT,
@@ -102,10 +120,21 @@
         };
         let arrived = Input::RequestArrived {
             request_id,
-            at: MILLISECOND,
+            at: at_ms * MILLISECOND,
             request,
         };
-        self.handle(1, arrived)
+        self.handle(at_ms, arrived)
+    }
+
+    /// Fires all timers up to this time.
+    pub(super) fn run_until(&mut self, until_ms: u64) -> Vec<String> {
+        let mut effects = Vec::new();
+        while let Some(timer) = self.engine.next_timer()
+            && timer <= until_ms * MILLISECOND
+        {
+            self.engine.fire_next_timer(timer, &mut effects);
+        }
+        effects.into_iter().map(describe).collect()
     }
 
     /// Handles progress of the first attempt of request 1.
--- a/crates/engine/src/engine/timers.rs
+++ b/crates/engine/src/engine/timers.rs
@@ -12,6 +12,12 @@
     Deadline(RequestId),
     /// Time by which a request must have been answered, somewhat after its deadline.
     AnswerOverdue(RequestId),
+    /// End of the time in which requests are sent by a cached list that was not confirmed.
+    WithholdCachedList,
+    /// Time by which the dispatcher reports that it is ready.
+    ReportReady,
+    /// Time from which a cached list is used even if it was not confirmed.
+    UseCachedList,
 }
 
 /// Timers ordered by time. Timers set for the same time fire in the order in which they were set.
--- a/crates/runtime/src/engine.rs
+++ b/crates/runtime/src/engine.rs
@@ -9,7 +9,7 @@
 use futures_lite::FutureExt;
 use futures_lite::future::yield_now;
 use rosewall::types::{Nanos, PeerLoad, RequestId};
-use rosewall_engine::engine::{Effect, Engine, Input, OutboundAttempt};
+use rosewall_engine::engine::{CachedListUse, Effect, Engine, Input, OutboundAttempt};
 use rosewall_protocol::client::Answer;
 use rosewall_protocol::discovery::EndpointList;
 use rustc_hash::FxHashMap;
@@ -71,9 +71,9 @@
     }
 
     /// Passes a cached endpoint list to the engine.
-    pub fn load_cached(&mut self, list: EndpointList) {
+    pub fn load_cached(&mut self, list: EndpointList, usage: CachedListUse) {
         let now = self.context.runtime.now();
-        self.engine.load_cached(now, list, &mut self.effects);
+        self.engine.load_cached(now, list, usage, &mut self.effects);
         self.execute_effects();
     }
 
--- a/crates/runtime/src/node.rs
+++ b/crates/runtime/src/node.rs
@@ -16,11 +16,11 @@
 
 use rosewall_cluster::cluster::Cluster;
 use rosewall_cluster::error::ClusterError;
-use rosewall_engine::config::{Config, FINAL_ANSWERS_RESERVE};
+use rosewall_engine::config::{Config, EndpointsMode, FINAL_ANSWERS_RESERVE};
 use rosewall_engine::counters::Counters;
 use rosewall_engine::discovery::DiscoveryClient;
 use rosewall_engine::endpoints::EndpointTable;
-use rosewall_engine::engine::Engine;
+use rosewall_engine::engine::{CachedListUse, Engine};
 use rosewall_protocol::discovery::{EndpointList, decode_endpoint_list};
 use std::io;
 use std::net::SocketAddr;
@@ -98,7 +98,7 @@
         let (watch_permits, permits) = async_channel::unbounded();
         let mut engine = EngineDriver::new(context.clone(), events, engine, watch_permits);
         let known_version = (!cached_list.endpoints.is_empty()).then_some(cached_list.version);
-        engine.load_cached(cached_list);
+        engine.load_cached(cached_list, cached_list_use(&config));
         let engine = context.runtime.spawn(engine.run());
         let (discovery_addresses, new_addresses) = async_channel::unbounded();
         let client = DiscoveryClient::new(
@@ -189,6 +189,17 @@
     })
 }
 
+/// Returns how far the cached list can be relied on. Where lists are pushed, what the agent has
+/// received counts from the start, also while it does not answer.
+fn cached_list_use(config: &Config) -> CachedListUse {
+    match config.runtime.endpoints_mode {
+        EndpointsMode::Polled => CachedListUse::UntilChanged,
+        EndpointsMode::Pushed => CachedListUse::UntilConfirmed {
+            drain_grace: config.runtime.drain_grace,
+        },
+    }
+}
+
 fn open_peer_loads<R: Runtime>(
     runtime: &R,
     config: &Config,
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -21,6 +21,7 @@
     ("Bounds.RetryAfter", "retry_after.allowed"),
     ("Bounds.MaxRetryAfterNs", "retry_after.max"),
     ("Contract.AskWithinNs", "endpoints.poll_within"),
+    ("Contract.StopSendingWithinNs", "endpoints.drain_grace"),
     ("Contract.ColdFrom", "slow_start.from"),
     ("Contract.ColdNs", "slow_start.duration"),
     ("Contract.FallMultiple", "overload.multiple"),
--- a/crates/simulation/src/simulation/dispatcher_config.rs
+++ b/crates/simulation/src/simulation/dispatcher_config.rs
@@ -119,6 +119,7 @@
             "ConnectTimeoutNs": limits.connect_ms * MS,
         },
         "Contract": {
+            "StopSendingWithinNs": rules.drain_grace_ms * MS,
             "ColdFrom": rules.slow_start_from,
             "ColdNs": rules.slow_start_ms * MS,
             "FallMultiple": rules.overload_multiple,
--- a/src/mutation.rs
+++ b/src/mutation.rs
@@ -45,6 +45,8 @@
     StateOutdatedTimeout,
     /// After a reload, the new discovery service is not called again once it has failed.
     AbandonNewDiscovery,
+    /// The cached endpoint list is used for as long as no other one has arrived.
+    TrustCachedList,
     // Protocol between dispatchers.
     /// The time for which this process was paused counts as silence of the other members.
     IgnorePause,
