Testbed: one dispatcher at its limits beside clients that misbehave (rosewall-testbed pressure)

Change: crates/cluster-testbed/src/pressure starts one dispatcher with its limits on memory and descriptors, on a core that it may share with a busy process, regular clients and one of fifteen misbehaviours. It reports the peak memory, late and lost answers of the regular clients, attempts after a close and ids that ran twice, as clients and workers recorded them.

--- a/crates/cluster-testbed/src/lib.rs
+++ b/crates/cluster-testbed/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod checker;
 pub mod error;
+pub mod pressure;
 pub mod process;
 pub mod relay;
 pub mod scale;
--- a/crates/cluster-testbed/src/main.rs
+++ b/crates/cluster-testbed/src/main.rs
@@ -4,15 +4,17 @@
 mod output;
 mod simulated;
 
-use clap::{Parser, Subcommand};
+use clap::{Args, Parser, Subcommand};
 use explore::Exploration;
 use rosewall_cluster_testbed::error::TestbedError;
+use rosewall_cluster_testbed::pressure::{Misbehaviour, Pressure};
 use rosewall_cluster_testbed::scale::command::Scale;
 use rosewall_cluster_testbed::scenario::Scenario;
 use rosewall_cluster_testbed::testbed::run_scenario;
 use simulated::SimulatedProcess;
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::time::Duration;
 
 #[derive(Parser)]
 #[command(
@@ -60,11 +62,54 @@
     Draw { seed: u64 },
     /// Run a large fleet of real and simulated dispatchers, and measure the cost of each role
     Scale(Box<Scale>),
+    /// Run one dispatcher at its limits beside clients that misbehave
+    Pressure(PressureArguments),
     /// Simulated workers, discovery or dispatchers in one process, started by `scale`
     #[command(subcommand, hide = true, name = "hollow")]
     Simulated(SimulatedProcess),
 }
 
+#[derive(Args)]
+struct PressureArguments {
+    /// What the misbehaving clients do
+    misbehaviour: Misbehaviour,
+    /// Misbehaving connections at a time
+    #[arg(long, default_value_t = 1)]
+    connections: usize,
+    /// Seconds for which they misbehave
+    #[arg(long, default_value_t = 10)]
+    seconds: u64,
+    /// Seed of all random choices
+    #[arg(long, default_value_t = 0)]
+    seed: u64,
+    /// Memory limit of the dispatcher in MB
+    #[arg(long, default_value_t = 192)]
+    memory_mb: u64,
+    /// Limit on descriptors
+    #[arg(long, default_value_t = 1024)]
+    sockets: usize,
+    /// Core that the dispatcher shares with a busy process
+    #[arg(long)]
+    shared_core: Option<usize>,
+}
+
+impl PressureArguments {
+    fn run(&self) -> Outcome {
+        let pressure = Pressure {
+            misbehaviour: self.misbehaviour,
+            connections: self.connections,
+            duration: Duration::from_secs(self.seconds),
+            seed: self.seed,
+            memory_mb: self.memory_mb,
+            sockets: self.sockets,
+            shared_core: self.shared_core,
+        };
+        let report = pressure.run();
+        println!("{}", serde_json::json!(report));
+        report.violations(self.memory_mb).is_empty().into()
+    }
+}
+
 /// Result of a command that ran to its end.
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Outcome {
@@ -98,6 +143,7 @@
             run_and_print(&scenario, cli)
         }
         Command::Replay { seed } => run_and_print(&Scenario::generate(*seed), cli),
+        Command::Pressure(pressure) => Ok(pressure.run()),
         Command::Scale(scale) => scale.run(cli.json).map(Outcome::from),
         Command::Simulated(process) => {
             process.run()?;
--- a/crates/cluster-testbed/src/scale/system.rs
+++ b/crates/cluster-testbed/src/scale/system.rs
@@ -32,6 +32,11 @@
     bytes_in(&format!("/proc/{pid}/status"), "VmRSS")
 }
 
+/// Returns the highest resident memory that a process has had, or 0 if it is not running.
+pub fn peak_resident_bytes(pid: u32) -> u64 {
+    bytes_in(&format!("/proc/{pid}/status"), "VmHWM")
+}
+
 /// Returns the total memory of the machine.
 pub fn machine_memory_bytes() -> u64 {
     bytes_in("/proc/meminfo", "MemTotal")
--- a/crates/cluster-testbed/src/stubs/daemon.rs
+++ b/crates/cluster-testbed/src/stubs/daemon.rs
@@ -153,6 +153,17 @@
             .count()
     }
 
+    /// Returns the id of the process.
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Returns whether the process is running.
+    pub fn is_running(&self) -> bool {
+        std::fs::read_to_string(format!("/proc/{}/stat", self.child.id()))
+            .is_ok_and(|stat| !stat.contains(") Z "))
+    }
+
     /// Requests the counters with `USR1` and returns the present value of one.
     pub fn counter(&self, name: &str) -> u64 {
         let from = self.log.lines.lock().unwrap().len();
