Client ids are kept as digests, so their memory doesn't depend on their length

What was seen: the ids of the last 8,192 requests that were sent were kept whole, and no limit counted them. A further cost of the number: after 8,192 other requests an id could run a second time.

Change: request_ids keeps a seeded 64-bit digest of each, 65,536 of completed requests, some 2 MB in all. Two ids of one dispatcher share a digest by chance in 1 of 2^48 requests or less; the second is refused as a duplicate, nothing runs twice by it.

--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -7,6 +7,7 @@
 mod cached_list;
 mod deadlines;
 mod interface;
+mod request_ids;
 mod requests;
 #[cfg(test)]
 mod tests;
@@ -51,12 +52,14 @@
 }
 
 impl Engine {
-    /// Creates an engine without requests. Connecting to a worker may take up to `connect_timeout`.
+    /// Creates an engine without requests. Connecting to a worker may take up to `connect_timeout`;
+    /// `id_seed` makes the digests of client ids unpredictable.
     pub fn new(
         dispatcher: Dispatcher,
         counters: Rc<Counters>,
         connect_timeout: Nanos,
         workers: EndpointTable,
+        id_seed: u64,
     ) -> Self {
         Engine {
             dispatcher,
@@ -64,7 +67,7 @@
             connect_timeout,
             list_status: ListStatus::Missing,
             workers,
-            requests: RequestTable::default(),
+            requests: RequestTable::new(id_seed),
             timers: TimerQueue::default(),
             events: VecDeque::new(),
             actions: Vec::new(),
--- a/crates/engine/src/engine/requests.rs
+++ b/crates/engine/src/engine/requests.rs
@@ -1,16 +1,11 @@
-//! The table of active requests and of the client ids that are in use or were sent.
+//! The table of active requests.
 use super::Effect;
+use super::request_ids::RequestIds;
 use rosewall::mutation::{Mutation, is_active};
 use rosewall::types::{Nanos, RequestId, WorkerId};
 use rosewall_protocol::client::ClientRequest;
-use rustc_hash::{FxHashMap, FxHashSet};
+use rustc_hash::FxHashMap;
 use slab::Slab;
-use std::collections::VecDeque;
-use std::rc::Rc;
-
-/// Maximum number of retained ids of completed requests. They take about 1 MB and cover minutes of
-/// one dispatcher's traffic, which is longer than any client waits.
-const MAX_COMPLETED_IDS: usize = 8192;
 
 /// Request that is not answered or has an attempt in flight.
 pub(super) struct ActiveRequest {
@@ -92,21 +87,26 @@
     }
 }
 
-#[derive(Default)]
 pub(super) struct RequestTable {
     requests: Slab<ActiveRequest>,
     slab_keys: FxHashMap<RequestId, usize>,
-    /// Client ids of active requests and of retained completed ones that were sent.
-    ids: FxHashSet<Rc<str>>,
-    /// Client ids of completed requests, oldest first.
-    completed_ids: VecDeque<Rc<str>>,
+    ids: RequestIds,
 }
 
 impl RequestTable {
+    /// Creates an empty table. `id_seed` makes the digests of client ids unpredictable.
+    pub(super) fn new(id_seed: u64) -> Self {
+        RequestTable {
+            requests: Slab::new(),
+            slab_keys: FxHashMap::default(),
+            ids: RequestIds::new(id_seed),
+        }
+    }
+
     /// Reserves a client id. Returns false if it belongs to a request that is active or was sent
     /// before.
     pub(super) fn reserve_id(&mut self, id: &str) -> bool {
-        self.ids.insert(id.into())
+        self.ids.reserve(id)
     }
 
     pub(super) fn insert(&mut self, active: ActiveRequest) {
@@ -166,16 +166,11 @@
     }
 
     fn retire_id(&mut self, completed: &ActiveRequest) {
-        let id = completed.request.id.as_str();
+        let id = &completed.request.id;
         if completed.attempts.is_empty() {
-            self.ids.remove(id);
+            self.ids.release(id);
         } else {
-            self.completed_ids.extend(self.ids.get(id).cloned());
-        }
-        if self.completed_ids.len() > MAX_COMPLETED_IDS
-            && let Some(oldest) = self.completed_ids.pop_front()
-        {
-            self.ids.remove(&oldest);
+            self.ids.retain(id);
         }
     }
 }
--- a/crates/engine/src/engine/tests.rs
+++ b/crates/engine/src/engine/tests.rs
@@ -80,6 +80,7 @@
             Rc::new(Counters::default()),
             250 * MILLISECOND,
             EndpointTable::default(),
+            1,
         );
         let list = EndpointList {
             version: 1,
--- a/crates/engine/tests/behaviour_lock.rs
+++ b/crates/engine/tests/behaviour_lock.rs
@@ -178,6 +178,7 @@
                 counters,
                 250 * MILLISECOND,
                 EndpointTable::default(),
+                1,
             ),
             names: names(),
             request_reader: RequestReader::default(),
--- a/crates/runtime/src/node.rs
+++ b/crates/runtime/src/node.rs
@@ -94,7 +94,13 @@
         let context = Rc::new(Context::new(parts, &config));
         let connect_timeout = config.runtime.connect_timeout;
         let endpoints = endpoint_table(&config);
-        let engine = Engine::new(dispatcher, counters, connect_timeout, endpoints);
+        let engine = Engine::new(
+            dispatcher,
+            counters,
+            connect_timeout,
+            endpoints,
+            config.seed,
+        );
         let (watch_permits, permits) = async_channel::unbounded();
         let mut engine = EngineDriver::new(context.clone(), events, engine, watch_permits);
         let known_version = (!cached_list.endpoints.is_empty()).then_some(cached_list.version);
