Timers of completed requests are removed ahead of their time

What was seen: each request set a timer for its deadline, which stayed in the heap after its answer. No limit counted the timers.

Change: once the heap has twice as many timers as were live the last time, and 4,096 at least, those without an effect are removed. The order of the others is as before.

Two tests; the one on accumulation would hold 100,000 timers before.

--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -180,6 +180,23 @@
             .insert(ActiveRequest::new(request_id, request, deadline));
         self.timers.set(deadline, Timer::Deadline(request_id));
         self.dispatch_event(now, arrived, effects);
+        self.compact_timers();
+    }
+
+    fn compact_timers(&mut self) {
+        let Engine {
+            timers,
+            requests,
+            dispatcher,
+            ..
+        } = self;
+        timers.compact(|timer| match timer {
+            Timer::Deadline(request_id) | Timer::AnswerOverdue(request_id) => {
+                requests.get(request_id).is_some()
+            }
+            Timer::Policy(token) => dispatcher.needs_timer(token),
+            Timer::WithholdCachedList | Timer::ReportReady | Timer::UseCachedList => true,
+        });
     }
 
     /// Cancels the attempts of a request whose client has disconnected, unless they are completely
--- a/crates/engine/src/engine/timers.rs
+++ b/crates/engine/src/engine/timers.rs
@@ -4,6 +4,9 @@
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 
+#[cfg(test)]
+mod tests;
+
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) enum Timer {
     /// Timer set by the policy, with its token.
@@ -20,11 +23,16 @@
     UseCachedList,
 }
 
+/// Number of timers below which none are removed ahead of their time.
+const MIN_COMPACTED_TIMERS: usize = 4096;
+
 /// Timers ordered by time. Timers set for the same time fire in the order in which they were set.
 #[derive(Default)]
 pub(super) struct TimerQueue {
     timers: BinaryHeap<Reverse<(Nanos, u64, Timer)>>,
     set_count: u64,
+    /// Number of timers that were live when others were last removed.
+    compacted_count: usize,
 }
 
 impl TimerQueue {
@@ -39,6 +47,17 @@
         self.timers.push(Reverse((at, self.set_count, timer)));
     }
 
+    /// Removes the timers that are not live if they may be more than half. Timers of completed
+    /// requests would otherwise stay until the deadline, which a client may set a day ahead.
+    pub(super) fn compact(&mut self, is_live: impl Fn(Timer) -> bool) {
+        if self.timers.len() < MIN_COMPACTED_TIMERS.max(2 * self.compacted_count) {
+            return;
+        }
+        self.timers.retain(|Reverse((_, _, timer))| is_live(*timer));
+        self.timers.shrink_to(MIN_COMPACTED_TIMERS);
+        self.compacted_count = self.timers.len();
+    }
+
     /// Returns when the first timer expires.
     pub(super) fn next(&self) -> Option<Nanos> {
         self.timers.peek().map(|Reverse((at, ..))| *at)
--- a/src/policy/dispatcher.rs
+++ b/src/policy/dispatcher.rs
@@ -7,7 +7,7 @@
     RunningMean, Worker,
 };
 use crate::time::{SECOND, decay};
-use crate::timers::{POLL_TIMER, TICK_INTERVAL, TICK_TIMER, attempt_timer};
+use crate::timers::{POLL_TIMER, TICK_INTERVAL, TICK_TIMER, attempt_of, attempt_timer};
 use crate::types::{Action, Event, Nanos, Request, RequestId, WorkerId};
 use crate::zones::ZoneDelays;
 use rustc_hash::FxHashMap;
@@ -151,6 +151,12 @@
         }
     }
 
+    /// Returns whether the timer with this token still has an effect when it fires.
+    pub fn needs_timer(&self, token: u64) -> bool {
+        let (request_id, _) = attempt_of(token);
+        matches!(token, TICK_TIMER | POLL_TIMER) || self.request_keys.contains_key(&request_id)
+    }
+
     /// Limits all deadlines to `by`, so that each request is answered before the process exits.
     fn advance_deadlines(&mut self, by: Nanos) {
         for (_, active) in &mut self.requests {
