The limit on memory counts heads, unsent answers and bodies of clients that have left

Not counted were the id, target and key of a request (16 KB, in several copies), an answer while its client doesn't read it, and the body of a request whose client has left while its attempt runs; a connection that once received 64 KB ahead kept that buffer while it was idle.

Change: ClientRequest::held_bytes counts all fields a client sizes; an answer counts while it is written (it is never refused, but others may reserve nothing beside it); the content of a request is dropped with its answer or its client; an empty buffer returns what is beyond 16 KB.

--- a/crates/cluster-testbed/src/pressure/misbehaviour.rs
+++ b/crates/cluster-testbed/src/pressure/misbehaviour.rs
@@ -22,6 +22,8 @@
     LongIds,
     /// Send requests of the largest size, which run for long, and leave.
     LargeThenLeave,
+    /// Send a small and a large request at once, read both answers, and stay.
+    IdleAfterMuch,
     /// Send requests with large results, and read none.
     UnreadAnswers,
     /// Each connection does one of the above.
@@ -106,13 +108,14 @@
 }
 
 /// Misbehaviours of mixed connections, in turn.
-const MIXED: [Misbehaviour; 7] = [
+const MIXED: [Misbehaviour; 8] = [
     Misbehaviour::SlowWrite,
     Misbehaviour::HalfRequest,
     Misbehaviour::ShortFields,
     Misbehaviour::LongNames,
     Misbehaviour::LongIds,
     Misbehaviour::LargeThenLeave,
+    Misbehaviour::IdleAfterMuch,
     Misbehaviour::UnreadAnswers,
 ];
 
@@ -186,6 +189,7 @@
             Misbehaviour::LongNames => self.send_long_names(stream),
             Misbehaviour::LongIds => self.send_long_ids(stream),
             Misbehaviour::LargeThenLeave => self.send_large_and_leave(stream),
+            Misbehaviour::IdleAfterMuch => self.stay_idle_after_much(stream),
             Misbehaviour::UnreadAnswers => self.leave_answers_unread(stream),
             Misbehaviour::Mixed => self.misbehave(MIXED[self.index % MIXED.len()], owned),
             Misbehaviour::FloodRejected => self.flood_rejected(stream),
@@ -273,6 +277,15 @@
         Ok(count > 0 && !self.is_over())
     }
 
+    fn stay_idle_after_much(&mut self, mut stream: &TcpStream) -> std::io::Result<()> {
+        let prefix = self.id_prefix();
+        let small = request(&format!("{prefix}-0"), "thumb", 2.0, "", "x");
+        let large = request(&format!("{prefix}-1"), "thumb", 2.0, "", &large_body());
+        stream.write_all((small + &large).as_bytes())?;
+        self.record.requests += 2;
+        read_to_end(stream)
+    }
+
     fn leave_answers_unread(&mut self, mut stream: &TcpStream) -> std::io::Result<()> {
         let prefix = self.id_prefix();
         stream.set_write_timeout(Some(WRITE_TIMEOUT))?;
--- a/crates/engine/src/engine/requests.rs
+++ b/crates/engine/src/engine/requests.rs
@@ -141,10 +141,13 @@
     }
 
     /// Marks the answer of a request as sent. Returns false if the request is not active or was
-    /// answered before.
+    /// answered before. No further attempt is made, so the request's content is dropped even if an
+    /// attempt goes on: it no longer counts against the memory limit of its client.
     pub(super) fn take_pending_answer(&mut self, request_id: RequestId) -> bool {
-        self.get_mut(request_id)
-            .is_some_and(|active| std::mem::take(&mut active.answer_pending))
+        self.get_mut(request_id).is_some_and(|active| {
+            active.request.release_content();
+            std::mem::take(&mut active.answer_pending)
+        })
     }
 
     /// Removes a request that is answered and has no attempt in flight. Retains its id if an
--- a/crates/engine/src/limits.rs
+++ b/crates/engine/src/limits.rs
@@ -27,6 +27,9 @@
 /// same size.
 const COPIES_PER_REQUEST: usize = 4;
 
+/// Number of copies of an answer's bytes: the result, and the answer as it is written.
+const COPIES_PER_ANSWER: usize = 2;
+
 /// Limits and current use of the descriptors, clients and request bytes of one process.
 #[derive(Default)]
 pub struct ResourceLimits {
@@ -70,6 +73,19 @@
         }
         fits
     }
+
+    /// Counts the bytes of an answer that is written to the client, beside those that it has sent
+    /// ahead, in place of the permit's previous reservation. The answer is due whatever the limit:
+    /// while it is exceeded, others may reserve nothing.
+    pub fn reserve_answer(&self, answer_bytes: usize, sent_ahead_bytes: usize) {
+        let PermitKind::Client { reserved_bytes } = &self.kind else {
+            return;
+        };
+        let needed = answer_bytes * COPIES_PER_ANSWER + sent_ahead_bytes * COPIES_PER_REQUEST;
+        let total = self.limits.request_bytes.get() - reserved_bytes.get() + needed;
+        self.limits.request_bytes.set(total);
+        reserved_bytes.set(needed);
+    }
 }
 
 impl Drop for DescriptorPermit {
--- a/crates/engine/src/limits/tests.rs
+++ b/crates/engine/src/limits/tests.rs
@@ -112,6 +112,20 @@
     assert!(other.reserve_bytes(2 * MIB));
 }
 
+/// An answer that its client doesn't read holds memory that others may not use as well.
+#[test]
+fn answers_count_beside_requests_and_are_never_refused() {
+    let limits = limits(1024, 16);
+    let one = limits.acquire_client().unwrap();
+    let other = limits.acquire_client().unwrap();
+
+    one.reserve_answer(5 * MIB, 0);
+    assert!(!other.reserve_bytes(1));
+    one.reserve_answer(3 * MIB, 0);
+    assert!(other.reserve_bytes(512 * KIB) && !other.reserve_bytes(512 * KIB + 1));
+    assert!(one.reserve_bytes(0) && other.reserve_bytes(2 * MIB));
+}
+
 #[test]
 fn memory_limits_the_number_of_clients() {
     let limits = limits(100_000, 16);
--- a/crates/protocol/src/client/mod.rs
+++ b/crates/protocol/src/client/mod.rs
@@ -40,6 +40,20 @@
     pub keep_alive: bool,
 }
 
+impl ClientRequest {
+    /// Returns the number of bytes of the fields whose length the client chooses.
+    pub fn held_bytes(&self) -> usize {
+        self.target.len() + self.id.len() + self.idempotency_key.len() + self.body.len()
+    }
+
+    /// Drops the fields that only further attempts need.
+    pub fn release_content(&mut self) {
+        self.target = String::new();
+        self.idempotency_key = String::new();
+        self.body = Vec::new();
+    }
+}
+
 /// Event in the byte stream of a client.
 #[derive(Debug, PartialEq)]
 pub enum ClientEvent {
--- a/crates/protocol/src/client/request_reader.rs
+++ b/crates/protocol/src/client/request_reader.rs
@@ -33,8 +33,8 @@
 
     /// Returns the number of buffered bytes of requests.
     pub fn buffered_bytes(&self) -> usize {
-        let body_bytes = self.open.as_ref().map_or(0, |open| open.request.body.len());
-        self.buffer.bytes.len() + body_bytes
+        let open = self.open.as_ref();
+        self.buffer.bytes.len() + open.map_or(0, |open| open.request.held_bytes())
     }
 
     /// Returns whether more bytes may be fed: the bytes of pipelined requests are limited.
--- a/crates/protocol/src/http/buffer.rs
+++ b/crates/protocol/src/http/buffer.rs
@@ -1,6 +1,8 @@
 //! Buffer for received bytes that no reader has consumed yet.
 use super::{HttpError, MAX_HEAD_BYTES};
 
+/// Memory that an empty buffer keeps for the next message, in bytes.
+const MAX_IDLE_CAPACITY: usize = 16 * 1024;
 const END_OF_HEAD: &[u8] = b"\r\n\r\n";
 
 /// Received bytes that have not been consumed yet.
@@ -32,10 +34,14 @@
         }
     }
 
-    /// Removes `count` bytes at the front.
+    /// Removes `count` bytes at the front. An empty buffer keeps no more memory than a usual head
+    /// needs.
     pub fn consume(&mut self, count: usize) {
         self.bytes.drain(..count);
         self.scanned = 0;
+        if self.bytes.is_empty() && self.bytes.capacity() > MAX_IDLE_CAPACITY {
+            self.bytes = Vec::new();
+        }
     }
 
     /// Removes line ends at the front, which may precede a request.
--- a/crates/runtime/src/client/connection.rs
+++ b/crates/runtime/src/client/connection.rs
@@ -200,7 +200,7 @@
     ) -> io::Result<AfterAnswer> {
         let request_id = self.context.next_request_id();
         let keep_alive = request.keep_alive;
-        let body_bytes = request.body.len();
+        let request_bytes = request.held_bytes();
         let (reply, answer) = async_channel::bounded(1);
         self.context.report(EngineEvent::RequestArrived {
             request_id,
@@ -208,7 +208,7 @@
             request,
             reply,
         });
-        let Some(answer) = self.wait_for_answer(&answer, body_bytes).await else {
+        let Some(answer) = self.wait_for_answer(&answer, request_bytes).await else {
             self.context
                 .report(EngineEvent::ClientDisconnected(request_id));
             return Err(io::ErrorKind::UnexpectedEof.into());
@@ -218,6 +218,8 @@
             return Ok(AfterAnswer::Close);
         }
         let mut response = encode_answer(&answer, keep_alive);
+        self.slot
+            .reserve_answer(response.len(), self.reader.buffered_bytes());
         if is_active(Mutation::TruncateAnswer) && request_id.is_multiple_of(32) {
             response.pop();
         }
@@ -322,7 +324,7 @@
         }
     }
 
-    /// Waits for the answer to a request with a body of `body_bytes`. Returns `None` if the client
+    /// Waits for the answer to a request of `request_bytes`. Returns `None` if the client
     /// disconnects first. A client that closes only its sending side cannot be distinguished from
     /// one that disconnects, and counts as such.
     ///
@@ -331,14 +333,14 @@
     async fn wait_for_answer(
         &mut self,
         answer: &Receiver<Answer>,
-        body_bytes: usize,
+        request_bytes: usize,
     ) -> Option<Answer> {
         let mut discarded_bytes = 0;
         loop {
             self.has_overflowed |= !self.reader.has_capacity()
                 || !self
                     .slot
-                    .reserve_bytes(body_bytes + self.reader.buffered_bytes());
+                    .reserve_bytes(request_bytes + self.reader.buffered_bytes());
             let answered = async { answer.recv().await.ok().map(WaitEvent::Answered) };
             let received = async {
                 let count = self.stream.read(&mut self.buffer).await.unwrap_or(0);
