A client that has left is noticed at once, however much it sent before

Their close can be read only behind those bytes; beyond the buffers 64 KB were read each millisecond, and the next request that was sent ahead was forwarded without a look. The operators' bound is 0.1 s.

Change: what comes beyond the buffers is read 64 KB at a time, each read followed by a turn of all other tasks; pauses begin after 64 MB, more than the system holds of a connection. Before a request that was sent ahead is forwarded, what the client has sent since is read. One buffer serves all connections. Reading has a module of its own (client/connection/receive).

--- a/crates/rosewalld/tests/teardown.rs
+++ b/crates/rosewalld/tests/teardown.rs
@@ -282,6 +282,28 @@
     );
 }
 
+/// Guards against a request that is forwarded long after its client has left, as the dispatcher first answers the one
+/// before it and still has much to read.
+#[test]
+fn a_request_sent_ahead_is_not_forwarded_after_its_client_has_left_much_unread() {
+    let (worker, daemon) = start_with_one_worker(&[StubResponse::DoneAfterMs(150)]);
+    let client = daemon.client();
+    let mut stream = client.reader.into_inner();
+    stream
+        .write_all(request("first", "charge", 5.0, "", "x").as_bytes())
+        .unwrap();
+    daemon.wait_for_counter("attempts_started", 1);
+    let ahead = request("ahead", "charge", 5.0, "", "x");
+    stream
+        .set_write_timeout(Some(Duration::from_secs(3)))
+        .unwrap();
+    let _ = stream.write_all(&[ahead.as_bytes(), &vec![b'x'; 24_000_000]].concat());
+    drop(stream);
+    // Longer than the first request runs and the bytes behind it are read.
+    std::thread::sleep(Duration::from_secs(1));
+    assert_eq!(worker.request_count(), 1);
+}
+
 /// Requests that were read completely are answered; the remaining ones are refused with one response.
 #[test]
 fn complete_pipelined_requests_are_answered_and_the_rest_is_refused() {
--- a/crates/runtime/src/client/connection.rs
+++ b/crates/runtime/src/client/connection.rs
@@ -1,4 +1,8 @@
 //! Serves one client connection: reads requests, waits for the answers and writes them.
+mod receive;
+
+pub(crate) use receive::DISCARD_READ_BYTES;
+
 use super::RETRY_PAUSE;
 use crate::context::Context;
 use crate::event::EngineEvent;
@@ -37,12 +41,6 @@
 /// Maximum number of bytes that are read after the last answer: twice the maximum size of a
 /// request.
 const LINGER_MAX_BYTES: usize = 160 * 1024;
-/// Number of bytes beyond the buffers that are discarded before each pause: enough to detect within
-/// 0.3 s that a client with several MB in transit has disconnected, and so few that a client that
-/// never stops costs little CPU.
-const DISCARD_BURST_BYTES: usize = 64 * 1024;
-/// Pause between two bursts of discarded bytes.
-const DISCARD_PAUSE: Duration = Duration::from_millis(1);
 /// Size of one read: larger than most requests with their heads.
 const READ_BUFFER_BYTES: usize = 8 * 1024;
 
@@ -86,13 +84,6 @@
     }
 }
 
-/// First event for a client that waits for an answer.
-enum WaitEvent {
-    Answered(Answer),
-    /// Number of bytes that the client sent; 0 if it disconnected.
-    Received(usize),
-}
-
 /// State of one client connection.
 pub(super) struct ClientConnection<R: Runtime> {
     context: Rc<Context<R>>,
@@ -198,9 +189,14 @@
         arrived_at: Nanos,
         request: ClientRequest,
     ) -> io::Result<AfterAnswer> {
+        let request_bytes = request.held_bytes();
+        // Requests that were sent ahead may have been left behind by their client.
+        if self.has_sent_ahead() && !self.read_ahead(request_bytes).await {
+            self.context.counters.clients_disconnected.add();
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
         let request_id = self.context.next_request_id();
         let keep_alive = request.keep_alive;
-        let request_bytes = request.held_bytes();
         let (reply, answer) = async_channel::bounded(1);
         self.context.report(EngineEvent::RequestArrived {
             request_id,
@@ -324,45 +320,6 @@
         }
     }
 
-    /// Waits for the answer to a request of `request_bytes`. Returns `None` if the client
-    /// disconnects first. A client that closes only its sending side cannot be distinguished from
-    /// one that disconnects, and counts as such.
-    ///
-    /// Bytes that the client sends meanwhile are buffered up to the limits and discarded beyond
-    /// them, so that a disconnect is detected behind any number of bytes.
-    async fn wait_for_answer(
-        &mut self,
-        answer: &Receiver<Answer>,
-        request_bytes: usize,
-    ) -> Option<Answer> {
-        let mut discarded_bytes = 0;
-        loop {
-            self.has_overflowed |= !self.reader.has_capacity()
-                || !self
-                    .slot
-                    .reserve_bytes(request_bytes + self.reader.buffered_bytes());
-            let answered = async { answer.recv().await.ok().map(WaitEvent::Answered) };
-            let received = async {
-                let count = self.stream.read(&mut self.buffer).await.unwrap_or(0);
-                Some(WaitEvent::Received(count))
-            };
-            match answered.or(received).await? {
-                WaitEvent::Answered(answer) => return Some(answer),
-                WaitEvent::Received(0) => return None,
-                WaitEvent::Received(count) if !self.has_overflowed => {
-                    self.reader.feed(&self.buffer[..count]);
-                }
-                WaitEvent::Received(count) => discarded_bytes += count,
-            }
-            if discarded_bytes >= DISCARD_BURST_BYTES {
-                discarded_bytes = 0;
-                sleep(&self.context.runtime, DISCARD_PAUSE).await;
-            } else {
-                yield_now().await;
-            }
-        }
-    }
-
     async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
         let write = self.stream.write_all(bytes);
         with_timeout(&self.context.runtime, WRITE_TIMEOUT, write).await
--- a/crates/runtime/src/client/mod.rs
+++ b/crates/runtime/src/client/mod.rs
@@ -3,6 +3,7 @@
 mod connection;
 
 pub use accept::accept_connections;
+pub(crate) use connection::DISCARD_READ_BYTES;
 
 use std::time::Duration;
 
--- a/crates/runtime/src/context.rs
+++ b/crates/runtime/src/context.rs
@@ -1,5 +1,6 @@
 //! State shared by all tasks of a dispatcher: the runtime, names, counters, resource limits, idle
 //! connections and the channel to the engine's task.
+use crate::client::DISCARD_READ_BYTES;
 use crate::cluster::ClusterDriver;
 use crate::event::EngineEvent;
 use crate::peer_load::PeerLoadExchange;
@@ -50,7 +51,9 @@
     pub limits: Rc<ResourceLimits>,
     /// Idle connections to workers.
     pub pool: RefCell<Pool<WorkerConnection<R::Stream>>>,
-    /// Whether an endpoint list is known.
+    /// Bytes that clients have sent beyond their buffers are read to here, and not used.
+    pub discard_buffer: RefCell<Box<[u8]>>,
+    /// Whether clients may be sent to this dispatcher.
     pub ready: Cell<bool>,
     /// Whether the dispatcher is shutting down.
     pub stopping: Cell<bool>,
@@ -93,6 +96,7 @@
             counters: parts.counters,
             limits: Rc::new(limits),
             pool: RefCell::new(Pool::new(config.runtime.idle_timeout)),
+            discard_buffer: RefCell::new(vec![0; DISCARD_READ_BYTES].into()),
             ready: Cell::new(false),
             stopping: Cell::new(false),
             active_requests: Cell::new(0),
