--- a/crates/cluster-testbed/src/main.rs
+++ b/crates/cluster-testbed/src/main.rs
@@ -88,9 +88,12 @@
     /// Limit on descriptors
     #[arg(long, default_value_t = 1024)]
     sockets: usize,
-    /// Core that the dispatcher shares with a busy process
+    /// Core that the dispatcher shares with busy processes
     #[arg(long)]
     shared_core: Option<usize>,
+    /// Number of busy processes on the shared core
+    #[arg(long, default_value_t = 1)]
+    busy_processes: usize,
 }
 
 impl PressureArguments {
@@ -103,6 +106,7 @@
             memory_mb: self.memory_mb,
             sockets: self.sockets,
             shared_core: self.shared_core,
+            busy_processes: self.busy_processes,
         };
         let report = pressure.run();
         println!("{}", serde_json::json!(report));
--- a/crates/cluster-testbed/src/pressure.rs
+++ b/crates/cluster-testbed/src/pressure.rs
@@ -37,8 +37,10 @@
     pub memory_mb: u64,
     /// Limit on descriptors.
     pub sockets: usize,
-    /// Core that the dispatcher shares with a busy process; `None` for the whole machine.
+    /// Core that the dispatcher shares with busy processes; `None` for the whole machine.
     pub shared_core: Option<usize>,
+    /// Number of busy processes on the shared core. The dispatcher gets an equal share beside them.
+    pub busy_processes: usize,
 }
 
 impl Pressure {
@@ -55,7 +57,10 @@
         let mut config = configuration(&discovery.address, self.sockets);
         config["limits"]["memory_mb"] = self.memory_mb.into();
         let daemon = Daemon::start_after_shell_command(&self.prelude(), &config);
-        let _busy = self.shared_core.and_then(BusyProcess::start);
+        let _busy: Vec<BusyProcess> = self.shared_core.map_or_else(Vec::new, |core| {
+            let start = |_| BusyProcess::start(core);
+            (0..self.busy_processes).filter_map(start).collect()
+        });
         daemon.wait_until_ready();
         let misbehaving_until = Instant::now() + self.duration;
         let regular = RegularClients::start(&daemon.address, misbehaving_until + RECOVERY);
@@ -89,7 +94,7 @@
     }
 }
 
-/// A process that keeps one core busy, so that a dispatcher on it gets half of it.
+/// A process that keeps one core busy, so that a dispatcher on it gets a share of it.
 struct BusyProcess(Child);
 
 impl BusyProcess {
