Simulation: polled lists, discovery that closes, starts in an outage, demanding clients

It played no polled lists; the old discovery never closed, the new one at worst answered late; a process started with the list that its agent had at that moment; clients sent no MB ahead, as connections held 32 KB.

Change: three faults (list-closes, reload-closed, start-in-outage), `polled` in a scenario, agents whose list counts as published from the start of a process and 6 s (polled) or 0.2 s (pushed) after an outage, clients that flood or leave with 6 MB unread. Three in four drawn scenarios have one kind of them or of the send delays. Two planned scenarios. Two tests of protocol moved to crates/engine/src/memory_tests.rs, where the mutations use them.

--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -10,9 +10,12 @@
 mod request_ids;
 mod requests;
 #[cfg(test)]
-mod tests;
+pub(crate) mod tests;
 mod timers;
 
+#[cfg(all(test, feature = "mutations"))]
+pub(crate) use timers::tests::timers_of_completed_requests_do_not_accumulate;
+
 pub use cached_list::CachedListUse;
 pub use interface::{Effect, Input, OutboundAttempt};
 
--- a/crates/engine/src/engine/requests.rs
+++ b/crates/engine/src/engine/requests.rs
@@ -145,7 +145,9 @@
     /// attempt goes on: it no longer counts against the memory limit of its client.
     pub(super) fn take_pending_answer(&mut self, request_id: RequestId) -> bool {
         self.get_mut(request_id).is_some_and(|active| {
-            active.request.release_content();
+            if !is_active(Mutation::KeepContentWithoutClient) {
+                active.request.release_content();
+            }
             std::mem::take(&mut active.answer_pending)
         })
     }
--- a/crates/engine/src/engine/tests.rs
+++ b/crates/engine/src/engine/tests.rs
@@ -44,7 +44,7 @@
     settings
 }
 
-pub(super) fn worker(state: EndpointState) -> DiscoveredEndpoint {
+pub(crate) fn worker(state: EndpointState) -> DiscoveredEndpoint {
     DiscoveredEndpoint {
         host: "a".into(),
         address: Some(([127, 0, 0, 1], 9).into()),
@@ -57,9 +57,19 @@
     }
 }
 
+fn request(id: &str) -> ClientRequest {
+    ClientRequest {
+        id: id.into(),
+        timeout: REQUEST_TIMEOUT,
+        hint: Some(5 * MILLISECOND),
+        slots: 1.0,
+        ..ClientRequest::default()
+    }
+}
+
 /// Engine under test, with effects described as short texts.
-pub(super) struct Fixture {
-    pub(super) engine: Engine,
+pub(crate) struct Fixture {
+    pub(crate) engine: Engine,
 }
 
 impl Fixture {
@@ -69,7 +79,7 @@
         Fixture::with_cached_list(idempotency, endpoints, CachedListUse::UntilChanged)
     }
 
-    pub(super) fn with_cached_list(
+    pub(crate) fn with_cached_list(
         idempotency: &str,
         endpoints: Vec<DiscoveredEndpoint>,
         usage: CachedListUse,
@@ -95,7 +105,7 @@
         Fixture::new("non-idempotent", Some(EndpointState::Ready))
     }
 
-    pub(super) fn handle(&mut self, at_ms: u64, input: Input) -> Vec<String> {
+    pub(crate) fn handle(&mut self, at_ms: u64, input: Input) -> Vec<String> {
         let mut effects = Vec::new();
         self.engine.handle(at_ms * MILLISECOND, input, &mut effects);
         effects.into_iter().map(describe).collect()
@@ -106,19 +116,29 @@
         self.send_request_at(1, request_id, id)
     }
 
-    pub(super) fn send_request_at(
+    pub(crate) fn send_request_at(
         &mut self,
         at_ms: u64,
         request_id: RequestId,
         id: &str,
+    ) -> Vec<String> {
+        self.send(at_ms, request_id, request(id))
+    }
+
+    pub(crate) fn send_request_with_body(
+        &mut self,
+        request_id: RequestId,
+        id: &str,
+        body: &[u8],
     ) -> Vec<String> {
         let request = ClientRequest {
-            id: id.into(),
-            timeout: REQUEST_TIMEOUT,
-            hint: Some(5 * MILLISECOND),
-            slots: 1.0,
-            ..ClientRequest::default()
+            body: body.to_vec(),
+            ..request(id)
         };
+        self.send(1, request_id, request)
+    }
+
+    fn send(&mut self, at_ms: u64, request_id: RequestId, request: ClientRequest) -> Vec<String> {
         let arrived = Input::RequestArrived {
             request_id,
             at: at_ms * MILLISECOND,
@@ -127,8 +147,14 @@
         self.handle(at_ms, arrived)
     }
 
+    /// Returns the size of the content that is held for an active request.
+    pub(crate) fn held_bytes(&self, request_id: RequestId) -> usize {
+        let active = self.engine.requests.get(request_id);
+        active.map_or(0, |active| active.request.held_bytes())
+    }
+
     /// Fires all timers up to this time.
-    pub(super) fn run_until(&mut self, until_ms: u64) -> Vec<String> {
+    pub(crate) fn run_until(&mut self, until_ms: u64) -> Vec<String> {
         let mut effects = Vec::new();
         while let Some(timer) = self.engine.next_timer()
             && timer <= until_ms * MILLISECOND
--- a/crates/engine/src/engine/timers.rs
+++ b/crates/engine/src/engine/timers.rs
@@ -5,7 +5,7 @@
 use std::collections::BinaryHeap;
 
 #[cfg(test)]
-mod tests;
+pub(super) mod tests;
 
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) enum Timer {
@@ -50,7 +50,8 @@
     /// Removes the timers that are not live if they may be more than half. Timers of completed
     /// requests would otherwise stay until the deadline, which a client may set a day ahead.
     pub(super) fn compact(&mut self, is_live: impl Fn(Timer) -> bool) {
-        if self.timers.len() < MIN_COMPACTED_TIMERS.max(2 * self.compacted_count) {
+        let is_small = self.timers.len() < MIN_COMPACTED_TIMERS.max(2 * self.compacted_count);
+        if is_small || is_active(Mutation::KeepCompletedTimers) {
             return;
         }
         self.timers.retain(|Reverse((_, _, timer))| is_live(*timer));
--- a/crates/engine/src/engine/timers/tests.rs
+++ b/crates/engine/src/engine/timers/tests.rs
@@ -7,7 +7,7 @@
 /// Guards against memory that a client fills with requests that are answered at once and have a
 /// deadline of a day.
 #[test]
-fn timers_of_completed_requests_do_not_accumulate() {
+pub(crate) fn timers_of_completed_requests_do_not_accumulate() {
     let mut timers = TimerQueue::default();
     for request_id in 0..100_000 {
         timers.set(DAY, Timer::Deadline(request_id));
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -9,6 +9,8 @@
 pub use log;
 
 mod invariant;
+#[cfg(test)]
+mod memory_tests;
 
 pub mod config;
 pub mod counters;
--- a/crates/engine/src/limits.rs
+++ b/crates/engine/src/limits.rs
@@ -7,6 +7,7 @@
 
 use async_channel::Receiver;
 use idle_clients::IdleClients;
+use rosewall::mutation::{Mutation, is_active};
 use rosewall::types::Nanos;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -81,6 +82,11 @@
         let PermitKind::Client { reserved_bytes } = &self.kind else {
             return;
         };
+        let answer_bytes = if is_active(Mutation::IgnoreAnswerBytes) {
+            0
+        } else {
+            answer_bytes
+        };
         let needed = answer_bytes * COPIES_PER_ANSWER + sent_ahead_bytes * COPIES_PER_REQUEST;
         let total = self.limits.request_bytes.get() - reserved_bytes.get() + needed;
         self.limits.request_bytes.set(total);
--- a/crates/protocol/src/client/mod.rs
+++ b/crates/protocol/src/client/mod.rs
@@ -10,6 +10,7 @@
 pub use request_reader::RequestReader;
 
 use crate::wire::reason;
+use rosewall::mutation::{Mutation, is_active};
 use rosewall::types::Nanos;
 
 /// Request of a client, parsed from HTTP.
@@ -43,6 +44,9 @@
 impl ClientRequest {
     /// Returns the number of bytes of the fields whose length the client chooses.
     pub fn held_bytes(&self) -> usize {
+        if is_active(Mutation::IgnoreHeadBytes) {
+            return self.body.len();
+        }
         self.target.len() + self.id.len() + self.idempotency_key.len() + self.body.len()
     }
 
--- a/crates/protocol/src/http/buffer.rs
+++ b/crates/protocol/src/http/buffer.rs
@@ -1,5 +1,6 @@
 //! Buffer for received bytes that no reader has consumed yet.
 use super::{HttpError, MAX_HEAD_BYTES};
+use rosewall::mutation::{Mutation, is_active};
 
 /// Memory that an empty buffer keeps for the next message, in bytes.
 const MAX_IDLE_CAPACITY: usize = 16 * 1024;
@@ -39,7 +40,8 @@
     pub fn consume(&mut self, count: usize) {
         self.bytes.drain(..count);
         self.scanned = 0;
-        if self.bytes.is_empty() && self.bytes.capacity() > MAX_IDLE_CAPACITY {
+        let is_idle = self.bytes.is_empty() && !is_active(Mutation::KeepBufferMemory);
+        if is_idle && self.bytes.capacity() > MAX_IDLE_CAPACITY {
             self.bytes = Vec::new();
         }
     }
--- a/crates/protocol/src/tests/client.rs
+++ b/crates/protocol/src/tests/client.rs
@@ -1,6 +1,6 @@
 //! Tests of reading the requests of clients and encoding the answers.
-use super::{REQUEST_HEAD, client_events, names};
-use crate::client::{Answer, ClientEvent, ClientRequest, RequestReader, encode_answer};
+use super::{REQUEST_HEAD, client_events};
+use crate::client::{Answer, ClientEvent, ClientRequest, encode_answer};
 use crate::http::{HttpError, MAX_HEAD_BYTES, ReadBuffer};
 use crate::names::index_of_name;
 use test_case::test_case;
@@ -35,31 +35,6 @@
     }
 }
 
-/// A long id, target or key takes as much memory as a body of its length.
-#[test]
-fn the_fields_of_a_request_whose_body_is_missing_count_as_buffered() {
-    let names = names();
-    let mut reader = RequestReader::default();
-    reader.feed(
-        [REQUEST_HEAD, "Content-Length: 5\r\n\r\nhel"]
-            .concat()
-            .as_bytes(),
-    );
-    assert_eq!(reader.next_event(&names), None);
-    let fields = ["/api/x?y=%20", "9b1f", "43 66"];
-    let length: usize = fields.iter().map(|field| field.len()).sum();
-    assert_eq!(reader.buffered_bytes(), length + "hel".len());
-}
-
-/// A connection that once received much must not hold that memory while it is idle.
-#[test]
-fn an_empty_buffer_returns_its_memory() {
-    let mut buffer = ReadBuffer::default();
-    buffer.bytes.extend_from_slice(&[b'x'; 80_000]);
-    buffer.consume(80_000);
-    assert!(buffer.bytes.capacity() <= MAX_HEAD_BYTES);
-}
-
 #[test]
 fn continue_is_sent_once_and_only_while_the_body_is_missing() {
     let head = [
--- a/crates/runtime/src/client/connection.rs
+++ b/crates/runtime/src/client/connection.rs
@@ -191,7 +191,8 @@
     ) -> io::Result<AfterAnswer> {
         let request_bytes = request.held_bytes();
         // Requests that were sent ahead may have been left behind by their client.
-        if self.has_sent_ahead() && !self.read_ahead(request_bytes).await {
+        let must_read_ahead = self.has_sent_ahead() && !is_active(Mutation::IgnoreBytesSentAhead);
+        if must_read_ahead && !self.read_ahead(request_bytes).await {
             self.context.counters.clients_disconnected.add();
             return Err(io::ErrorKind::UnexpectedEof.into());
         }
--- a/crates/runtime/src/client/connection/receive.rs
+++ b/crates/runtime/src/client/connection/receive.rs
@@ -5,6 +5,7 @@
 use async_channel::Receiver;
 use futures_lite::future::{poll_once, yield_now};
 use futures_lite::{AsyncRead, FutureExt};
+use rosewall::mutation::{Mutation, is_active};
 use rosewall_protocol::client::Answer;
 use std::future::poll_fn;
 use std::pin::Pin;
@@ -109,7 +110,9 @@
 
     /// Lets other tasks run. A client that sends faster than this task reads must not block them.
     async fn take_turns(&self, discarded_bytes: usize) {
-        if discarded_bytes < UNPACED_DISCARD_BYTES {
+        let is_paced = discarded_bytes >= UNPACED_DISCARD_BYTES
+            || (discarded_bytes > 0 && is_active(Mutation::IgnoreBytesSentAhead));
+        if !is_paced {
             yield_now().await;
         } else {
             sleep(&self.context.runtime, DISCARD_PAUSE).await;
--- a/crates/simulation/src/client/misbehaving.rs
+++ b/crates/simulation/src/client/misbehaving.rs
@@ -2,6 +2,7 @@
 use super::exchange::LATE_RESPONSE_WAIT;
 use super::{Clients, RequestSpec, render_request};
 use crate::checker::{HOLD_UP_SLACK, RequestIndex, SLACK};
+use crate::context::Context;
 use crate::http::MessageReader;
 use crate::network::VirtualStream;
 use crate::rng::Rng;
@@ -12,6 +13,14 @@
 use rosewall::types::Nanos;
 use rosewall_runtime::traits::{Readiness, Stream};
 
+/// Bytes behind the requests of a client that leaves.
+const UNREAD_BYTES: usize = 6 * 1024 * 1024;
+/// Number of times that a client floods its connection before it reads.
+const FLOOD_ROUNDS: usize = 30;
+/// Hint of the requests of a flood, which are rejected at once.
+const FLOOD_HINT: Nanos = 3_600 * SECOND;
+/// Number of requests in each of these rounds.
+const REQUESTS_AT_ONCE: usize = 10;
 const BODY: &str = "body";
 const LENGTH_AND_BODY: &str = "Content-Length: 4\r\n\r\nbody";
 const LENGTH: &str = "Content-Length: 4\r\n\r\n";
@@ -136,6 +145,8 @@
                 Some(())
             }
             Misbehaviour::OldVersion => self.send_old_version().await,
+            Misbehaviour::LeaveUnread => self.leave_unread().await,
+            Misbehaviour::Flood => self.flood().await,
         }
     }
 
@@ -258,6 +269,57 @@
         self.sleep(3 * SECOND).await;
     }
 
+    /// Pipelines requests with some MB behind them and closes at a random moment.
+    async fn leave_unread(mut self) -> Option<()> {
+        self.stream.set_buffer_bytes(2 * UNREAD_BYTES);
+        self.spec.work = 20 * MS;
+        let mut requests = Vec::new();
+        for _ in 0..self.rng.range(5, 40) {
+            let request = self.create_valid();
+            let text = self.render(request);
+            self.write(text.as_bytes()).await?;
+            self.request_sent(request, Nanos::MAX);
+            let mut checker = self.clients.context.checker.borrow_mut();
+            checker.response_abandoned(request);
+            drop(checker);
+            requests.push(request);
+        }
+        let unread = vec![b'x'; UNREAD_BYTES];
+        self.write(&unread).await?;
+        let pause = self.rng.range(0, 40 * MS);
+        self.sleep(pause).await;
+        let Context {
+            kernel, checker, ..
+        } = &*self.clients.context;
+        for request in requests {
+            checker
+                .borrow_mut()
+                .client_disconnected(kernel.now(), request);
+        }
+        Some(())
+    }
+
+    /// Sends small requests, each as soon as the connection takes it.
+    async fn flood(mut self) -> Option<()> {
+        self.spec.work = MS;
+        self.spec.hint = Some(FLOOD_HINT);
+        let mut buffer = [0; 4096];
+        for _ in 0..FLOOD_ROUNDS {
+            for _ in 0..REQUESTS_AT_ONCE {
+                let request = self.create_valid();
+                let text = self.render(request);
+                self.write(text.as_bytes()).await?;
+                self.request_sent(request, Nanos::MAX);
+                let mut checker = self.clients.context.checker.borrow_mut();
+                checker.response_abandoned(request);
+            }
+            if self.stream.read(&mut buffer).await.ok()? == 0 {
+                break;
+            }
+        }
+        Some(())
+    }
+
     async fn send_old_version(&mut self) -> Option<()> {
         let request = self.create_valid();
         let text = malformed(self.kind, &self.render(request));
--- a/crates/simulation/src/discovery.rs
+++ b/crates/simulation/src/discovery.rs
@@ -77,6 +77,9 @@
     malformed_until: Cell<Nanos>,
     delay: Cell<Delay>,
     silent_until: RefCell<[Nanos; 2]>,
+    closed_until: RefCell<[Nanos; 2]>,
+    /// The list that was sent last: a restarted dispatcher has it as its cached list.
+    last_sent: RefCell<Option<EndpointList>>,
     /// Senders that wake the polls waiting for a change.
     waiting_polls: RefCell<Vec<Sender<()>>>,
     /// Number of times that the open polls were dropped.
@@ -112,6 +115,8 @@
             malformed_until: Cell::new(0),
             delay: Cell::default(),
             silent_until: RefCell::default(),
+            closed_until: RefCell::default(),
+            last_sent: RefCell::default(),
             waiting_polls: RefCell::default(),
             poll_drops: Cell::new(0),
         });
@@ -164,11 +169,18 @@
         self.notify_polls();
     }
 
-    /// Renders the list with which a dispatcher on `host` starts, and records it as published.
-    pub fn publish_initial_list(&self, host: HostId) -> String {
-        let list = self.visible_list().list;
-        self.record_published(&list, None, host);
-        render(&list, None)
+    /// Renders the list with which a dispatcher on `host` starts: the one that was sent last, which
+    /// may be old. Records it as published, and where lists are pushed the current one as well, for
+    /// which a dispatcher is accountable from its start.
+    pub fn publish_initial_list(&self, host: HostId, is_polled: bool) -> String {
+        let current = self.visible_list().list;
+        let cached = self.last_sent.borrow().clone();
+        let cached = cached.unwrap_or_else(|| current.clone());
+        self.record_published(&cached, None, host);
+        if !is_polled && current.version > cached.version {
+            self.record_published(&current, None, host);
+        }
+        render(&cached, None)
     }
 
     fn notify_polls(&self) {
@@ -244,9 +256,11 @@
         loop {
             let _ = listener.wait_ready().await;
             while let Ok(stream) = listener.accept() {
-                self.context
-                    .kernel
-                    .spawn(self.clone().serve(stream, address));
+                if !self.is_closed(address) {
+                    self.context
+                        .kernel
+                        .spawn(self.clone().serve(stream, address));
+                }
             }
         }
     }
@@ -255,10 +269,14 @@
         let mut reader = MessageReader::default();
         while let Ok(Some(message)) = reader.read_request(&mut stream).await {
             let poll = Poll::parse(&message, self.context.kernel.now());
-            if self.wait_for_change(&poll, address).await.is_none() {
-                // The dropped poll stays open and is never answered.
-                let _ = reader.read_request(&mut stream).await;
-                return;
+            match self.wait_for_change(&poll, address).await {
+                PollEnd::Answer => {}
+                PollEnd::Dropped => {
+                    // The dropped poll stays open and is never answered.
+                    let _ = reader.read_request(&mut stream).await;
+                    return;
+                }
+                PollEnd::Closed => return,
             }
             if self.answer(&poll, &mut stream).await.is_none() {
                 return;
@@ -266,20 +284,27 @@
         }
     }
 
-    /// Waits until a poll must be answered; returns `None` if the agent has dropped the poll.
-    async fn wait_for_change(&self, poll: &Poll, address: usize) -> Option<()> {
+    fn is_closed(&self, address: usize) -> bool {
+        self.context.kernel.now() < self.closed_until.borrow()[address]
+    }
+
+    /// Waits until a poll must be answered or ends without an answer.
+    async fn wait_for_change(&self, poll: &Poll, address: usize) -> PollEnd {
         let kernel = &self.context.kernel;
         let poll_drops = self.poll_drops.get();
         loop {
             if self.poll_drops.get() != poll_drops {
-                return None;
+                return PollEnd::Dropped;
+            }
+            if self.is_closed(address) {
+                return PollEnd::Closed;
             }
             let silent_until = self.silent_until.borrow()[address];
             let changed = poll.since != Some(self.visible_list().list.version);
             if kernel.now() < silent_until {
                 kernel.sleep_until(ENVIRONMENT, silent_until).await;
             } else if changed || kernel.now() >= poll.until {
-                return Some(());
+                return PollEnd::Answer;
             } else {
                 let (notify, notified) = async_channel::bounded(1);
                 self.waiting_polls.borrow_mut().push(notify);
@@ -313,11 +338,21 @@
         stream.write_all((head + &body).as_bytes()).await.ok()?;
         if !malformed {
             self.record_published(&list, since, host);
+            self.last_sent.replace(Some(list));
         }
         Some(())
     }
 }
 
+/// How the wait of a poll ends.
+enum PollEnd {
+    Answer,
+    /// It stays open without an answer.
+    Dropped,
+    /// Its connection is closed.
+    Closed,
+}
+
 /// The parameters of a dispatcher's poll.
 struct Poll {
     /// The list version that the dispatcher has; `None` if it has none.
--- a/crates/simulation/src/discovery/faults.rs
+++ b/crates/simulation/src/discovery/faults.rs
@@ -11,6 +11,17 @@
         self.silent_until.borrow_mut()[address] = until;
     }
 
+    /// Closes each connection at one of the two addresses until the time `until`.
+    pub fn close(&self, address: usize, until: Nanos) {
+        self.closed_until.borrow_mut()[address] = until;
+        self.notify_polls();
+    }
+
+    /// Returns the time from which calls to an address are answered.
+    pub fn reachable_at(&self, address: usize) -> Nanos {
+        self.silent_until.borrow()[address].max(self.closed_until.borrow()[address])
+    }
+
     /// Drops the polls that are open now: they are never answered.
     pub fn drop_open_polls(&self) {
         self.poll_drops.set(self.poll_drops.get() + 1);
--- a/crates/simulation/src/explore.rs
+++ b/crates/simulation/src/explore.rs
@@ -1,6 +1,6 @@
 //! Runs many simulations in parallel and sums their results.
 use crate::checker::Rule;
-use crate::generate::{generate, with_send_delays};
+use crate::generate::{generate, with_demanding_clients, with_discovery_outages, with_send_delays};
 use crate::hex_digest;
 use crate::scenario::Scenario;
 use crate::simulation::{Report, Trace, run_scenario};
@@ -94,8 +94,8 @@
     }
 }
 
-/// Every so many generated scenarios, one has faults that delay attempts before they are sent.
-const SEND_DELAY_INTERVAL: u64 = 4;
+/// Number of kinds of generated scenarios, which take turns by seed.
+const SCENARIO_KINDS: u64 = 4;
 
 /// Returns the scenario of a seed: `base` under that seed, or a generated one if there is no base.
 pub fn scenario_for_seed(seed: u64, base: Option<&Scenario>) -> Scenario {
@@ -104,8 +104,12 @@
             seed,
             ..base.clone()
         },
-        None if seed.is_multiple_of(SEND_DELAY_INTERVAL) => with_send_delays(generate(seed)),
-        None => generate(seed),
+        None => match seed % SCENARIO_KINDS {
+            0 => with_send_delays(generate(seed)),
+            1 => with_discovery_outages(generate(seed)),
+            2 => with_demanding_clients(generate(seed)),
+            _ => generate(seed),
+        },
     }
 }
 
--- a/crates/simulation/src/generate.rs
+++ b/crates/simulation/src/generate.rs
@@ -1,8 +1,12 @@
 //! Generates a scenario from a seed: sizes, classes, load and faults, combined so that faults
 //! coincide. The order of the random draws must not change: any other order gives a different
 //! scenario for every seed.
+mod demanding_clients;
+mod discovery_outages;
 mod send_delays;
 
+pub use demanding_clients::with_demanding_clients;
+pub use discovery_outages::with_discovery_outages;
 pub use send_delays::with_send_delays;
 
 use crate::rng::Rng;
@@ -117,6 +121,7 @@
         net: generate_network(&mut rng),
         rules,
         membership,
+        polls_endpoints: false,
         classes,
         workers,
         loads,
--- a/crates/simulation/src/network/late_connection.rs
+++ b/crates/simulation/src/network/late_connection.rs
@@ -1,7 +1,7 @@
 //! Connections that come up late: a host confirms a connect late, or holds only a few bytes of a
 //! connection until it accepts it.
 use super::link::{Link, Segment};
-use super::stream::{BUFFER_BYTES, UNACCEPTED_BUFFER_BYTES};
+use super::stream::UNACCEPTED_BUFFER_BYTES;
 use super::{HostId, Network, State};
 use crate::fault_interval::FaultInterval;
 use crate::kernel::Kernel;
@@ -63,7 +63,7 @@
         if entry.in_backlog && now < self.hosts[entry.hosts[1]].small_window_until {
             UNACCEPTED_BUFFER_BYTES
         } else {
-            BUFFER_BYTES
+            entry.buffer_bytes
         }
     }
 }
--- a/crates/simulation/src/network/link.rs
+++ b/crates/simulation/src/network/link.rs
@@ -1,6 +1,7 @@
 //! A link between two hosts: the segments in transit in each direction, and the received bytes that
 //! are not read yet.
 use super::HostId;
+use super::stream::BUFFER_BYTES;
 use crate::kernel::Owner;
 use rosewall::types::Nanos;
 use std::cell::{Cell, RefCell};
@@ -173,6 +174,8 @@
     /// Whether side 1 is in the backlog of its listener.
     pub in_backlog: bool,
     pub listener: SocketAddr,
+    /// Maximum number of written and unread bytes per direction.
+    pub buffer_bytes: usize,
 }
 
 impl Link {
@@ -186,6 +189,7 @@
             connecting: None,
             in_backlog: false,
             listener,
+            buffer_bytes: BUFFER_BYTES,
         }
     }
 
--- a/crates/simulation/src/network/stream.rs
+++ b/crates/simulation/src/network/stream.rs
@@ -43,6 +43,14 @@
         self.counters(1 - self.end.side)
     }
 
+    /// Sets the number of bytes per direction that the systems of both sides hold.
+    pub fn set_buffer_bytes(&self, bytes: usize) {
+        let mut state = self.network.state.borrow_mut();
+        if let Some(link) = state.links.get_mut(self.end.link) {
+            link.buffer_bytes = bytes;
+        }
+    }
+
     fn counters(&self, direction: usize) -> Rc<DirectionCounters> {
         self.link(|link| link.directions[direction].counters.clone())
             .unwrap_or_default()
--- a/crates/simulation/src/scenario.rs
+++ b/crates/simulation/src/scenario.rs
@@ -39,6 +39,9 @@
     /// Cluster of the dispatchers. If absent, each dispatcher works on its own.
     #[serde(default, rename = "members")]
     pub membership: Option<Membership>,
+    /// Whether dispatchers poll their endpoint lists; otherwise these are pushed.
+    #[serde(default, rename = "polled", skip_serializing_if = "is_false")]
+    pub polls_endpoints: bool,
     /// Request classes; at least one.
     #[serde(rename = "scheme")]
     pub classes: Vec<RequestClass>,
@@ -59,6 +62,14 @@
     pub faults: Vec<Fault>,
 }
 
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "the signature that serde requires"
+)]
+fn is_false(value: &bool) -> bool {
+    !value
+}
+
 fn one() -> usize {
     1
 }
--- a/crates/simulation/src/scenario/clients.rs
+++ b/crates/simulation/src/scenario/clients.rs
@@ -92,6 +92,10 @@
     Unread,
     /// Sends an HTTP/1.0 request.
     OldVersion,
+    /// Pipelines requests, sends some MB behind them, and closes its connection.
+    LeaveUnread,
+    /// Sends small requests on one connection as fast as they are taken, and reads the responses.
+    Flood,
 }
 
 /// All kinds of misbehaviour, in the order of [`Misbehaviour`].
--- a/crates/simulation/src/scenario/fault.rs
+++ b/crates/simulation/src/scenario/fault.rs
@@ -99,6 +99,17 @@
     /// the process continues with what has arrived.
     #[serde(rename = "hold-up")]
     HoldUp,
+    /// Both addresses of a dispatcher's discovery close each connection for the duration.
+    #[serde(rename = "list-closes")]
+    EndpointsClosed,
+    /// Like `Reload`, but the new address closes each connection for the duration, and the old one
+    /// does so from 1.5 s after the reload on.
+    #[serde(rename = "reload-closed")]
+    ReloadClosed,
+    /// A dispatcher is killed; its discovery falls silent 0.4 s later for the duration, and another
+    /// 0.1 s later the dispatcher starts again with the list that it last received.
+    #[serde(rename = "start-in-outage")]
+    StartInOutage,
     /// The share of new connections to a worker is established late, by a random time.
     #[serde(rename = "late-connect")]
     LateConnections,
--- a/crates/simulation/src/simulation/dispatcher_config.rs
+++ b/crates/simulation/src/simulation/dispatcher_config.rs
@@ -134,7 +134,7 @@
         "Zones": zones,
         "Me": dispatcher,
         "Siblings": scenario.dispatchers,
-        "RegistryMode": "pushed",
+        "RegistryMode": if scenario.polls_endpoints { "on_request" } else { "pushed" },
         "Parties": [{"Name": "t"}],
         "Report": {"Fields": [], "How": "none"},
         "Schemes": schemes,
--- a/crates/simulation/src/simulation/dispatchers.rs
+++ b/crates/simulation/src/simulation/dispatchers.rs
@@ -41,6 +41,8 @@
     pub tasks: Rc<Cell<usize>>,
     /// The index of the discovery agent's address in the last configuration.
     pub discovery_address: usize,
+    /// Number of configurations so far, over all processes.
+    pub configurations: u32,
 }
 
 /// The reason why a dispatcher did not start.
@@ -70,7 +72,8 @@
         let kernel = &self.context.kernel;
         let host = self.context.network.add_dispatcher_host();
         self.agents[dispatcher].set_dispatcher(host);
-        let endpoints = self.agents[dispatcher].publish_initial_list(host);
+        let agent = &self.agents[dispatcher];
+        let endpoints = agent.publish_initial_list(host, self.scenario.polls_endpoints);
         let started = self.start_node(dispatcher, host, &endpoints);
         kernel.record(
             TimelineEvent::DispatcherStarted,
@@ -108,13 +111,18 @@
         let node = Node::start(runtime, config, listener)
             .map_err(|error| StartError::Node(error.into()))?;
         let mut dispatchers = self.dispatchers.borrow_mut();
-        let discovery_address = dispatchers[dispatcher].discovery_address;
+        let DispatcherSlot {
+            discovery_address,
+            configurations,
+            ..
+        } = dispatchers[dispatcher];
         dispatchers[dispatcher] = DispatcherSlot {
             executor: Some(executor),
             node: Some(node),
             host,
             tasks,
             discovery_address,
+            configurations: configurations + 1,
         };
         Ok(())
     }
@@ -147,8 +155,9 @@
     pub fn reload(&self, dispatcher: usize, descriptors: usize) {
         const NO_ENDPOINTS: &str = "{\"seq\":0,\"whole\":true,\"hosts\":[]}";
         let config = self.dispatcher_config(dispatcher, NO_ENDPOINTS, descriptors);
-        let dispatchers = self.dispatchers.borrow();
-        let slot = &dispatchers[dispatcher];
+        let mut dispatchers = self.dispatchers.borrow_mut();
+        let slot = &mut dispatchers[dispatcher];
+        slot.configurations += 1;
         if let (Some(node), Ok(config)) = (&slot.node, config) {
             node.reload(&config);
             self.context.kernel.mark_runnable(slot.host);
--- a/crates/simulation/tests/exploration_lock.rs
+++ b/crates/simulation/tests/exploration_lock.rs
@@ -21,6 +21,6 @@
         }
     }
 
-    assert_eq!(total, [843_173, 52_642, 50_335, 46_915]);
-    assert_eq!(digest, 17_966_715_801_382_434_788);
+    assert_eq!(total, [843_325, 52_638, 50_326, 46_913]);
+    assert_eq!(digest, 15_152_843_894_163_540_181);
 }
--- a/crates/simulation/tests/planned_scenarios.rs
+++ b/crates/simulation/tests/planned_scenarios.rs
@@ -22,6 +22,8 @@
 #[test_case(include_str!("../scenarios/stop-meets-newcomer.toml"), 5; "found: a shutdown closed a connection with a request in transit")]
 #[test_case(include_str!("../scenarios/left-while-connecting.toml"), 1; "found: a request was sent after its client had disconnected")]
 #[test_case(include_str!("../scenarios/repeat-after-its-window.toml"), 10; "found: a repeat was written after its retry window")]
+#[test_case(include_str!("../scenarios/new-discovery-closed.toml"), 100; "found: a new discovery service was never called again")]
+#[test_case(include_str!("../scenarios/start-in-outage.toml"), 40; "found: a drain was missed by a start in an outage")]
 fn coinciding_faults_violate_no_rule(text: &str, min_succeeded: u64) {
     let all_counts = run_without_violations(text, 0..20);
 
--- a/crates/simulation/tests/scenario_files.rs
+++ b/crates/simulation/tests/scenario_files.rs
@@ -20,7 +20,7 @@
         count += 1;
     }
 
-    assert_eq!(count, 22);
+    assert_eq!(count, 24);
 }
 
 #[test]
--- a/src/mutation.rs
+++ b/src/mutation.rs
@@ -47,6 +47,19 @@
     AbandonNewDiscovery,
     /// The cached endpoint list is used for as long as no other one has arrived.
     TrustCachedList,
+    /// A request that was sent ahead is forwarded before what follows it is read, which is slow.
+    IgnoreBytesSentAhead,
+    // Limits on what one dispatcher holds.
+    /// Timers of completed requests are kept until they fire.
+    KeepCompletedTimers,
+    /// The content of a request is kept while an attempt runs, though its client has left.
+    KeepContentWithoutClient,
+    /// An answer that is written counts against no limit.
+    IgnoreAnswerBytes,
+    /// Only the body of a request counts against the limit on memory.
+    IgnoreHeadBytes,
+    /// A buffer keeps its memory while it is empty.
+    KeepBufferMemory,
     // Protocol between dispatchers.
     /// The time for which this process was paused counts as silence of the other members.
     IgnorePause,
@@ -152,6 +165,19 @@
     Mutation::LeakRequest,
     Mutation::IgnoreSendDeadline,
     Mutation::StateOutdatedTimeout,
+    Mutation::AbandonNewDiscovery,
+    Mutation::TrustCachedList,
+    Mutation::IgnoreBytesSentAhead,
+];
+
+/// Mutations of the limits on what one dispatcher holds, which the tests of `rosewall-engine` must
+/// detect.
+pub const LIMITS: &[Mutation] = &[
+    Mutation::KeepCompletedTimers,
+    Mutation::KeepContentWithoutClient,
+    Mutation::IgnoreAnswerBytes,
+    Mutation::IgnoreHeadBytes,
+    Mutation::KeepBufferMemory,
 ];
 
 #[cfg(feature = "mutations")]
