Testbed: polled lists, and a discovery that closes, falls silent or moves

Its fleets had pushed lists only, and its discovery answered always.

Change: `polled` in a fleet, the faults list-silent, list-closes and list-moves (SIGHUP to a service that closes connections at first, while the old one closes for good), and a drain in an outage in every fifth drawn scenario. Four tests in crates/rosewalld/tests/cluster.rs.

--- a/crates/cluster-testbed/src/scenario.rs
+++ b/crates/cluster-testbed/src/scenario.rs
@@ -66,6 +66,9 @@
     pub slots: usize,
     /// Range in milliseconds over which the wall clocks of dispatchers differ.
     pub skew_ms: u64,
+    /// Whether dispatchers poll their endpoint lists; otherwise these are pushed.
+    #[serde(rename = "polled", skip_serializing_if = "std::ops::Not::not")]
+    pub polls_endpoints: bool,
     /// Time in milliseconds that a connect may take, or `None` for 250.
     pub connect_ms: Option<u64>,
     /// Time in milliseconds after which workers close idle connections, or `None` for 30,000.
@@ -83,6 +86,7 @@
             workers: 6,
             slots: 2,
             skew_ms: 0,
+            polls_endpoints: false,
             connect_ms: None,
             idle_ms: None,
         }
--- a/crates/cluster-testbed/src/scenario/fault.rs
+++ b/crates/cluster-testbed/src/scenario/fault.rs
@@ -49,6 +49,16 @@
     /// Sets the conditions of all links to `link`.
     #[serde(rename = "ways")]
     LinkConditions,
+    /// Makes discovery take calls without ever answering them.
+    #[serde(rename = "list-silent")]
+    DiscoverySilent,
+    /// Makes discovery close connections.
+    #[serde(rename = "list-closes")]
+    DiscoveryClosed,
+    /// Moves all dispatchers to a new discovery service, which closes connections for the duration. The old one does so
+    /// 1.5 s later for good.
+    #[serde(rename = "list-moves")]
+    DiscoveryMoved,
 }
 
 /// Fault of a scenario.
--- a/crates/cluster-testbed/src/scenario/generate.rs
+++ b/crates/cluster-testbed/src/scenario/generate.rs
@@ -3,6 +3,10 @@
 use crate::relay::LinkConditions;
 use rosewall::pcg::Pcg;
 
+/// Every so many seeds, a scenario has an outage of discovery around a drain: those with this remainder.
+const DISCOVERY_OUTAGE_INTERVAL: u64 = 5;
+const DISCOVERY_OUTAGE_REMAINDER: u64 = 3;
+
 /// Combined with the seed, so that the random numbers of generation differ from those of a run with the same seed.
 const SEED_SALT: u64 = 0x72_6967;
 
@@ -96,6 +100,34 @@
     }
 }
 
+impl Generator {
+    /// Adds an outage of discovery and a drain in it, and time for the drain to be noticed. Drains of the scenario's own
+    /// are removed.
+    fn with_discovery_outage(&mut self, mut scenario: Scenario) -> Scenario {
+        scenario.fleet.polls_endpoints = self.coin();
+        scenario
+            .faults
+            .retain(|fault| fault.kind != FaultKind::Drain);
+        let at_ms = 1_000 + self.below(1_000);
+        let duration_ms = self.one_of(&[300, 1_000, 3_000]);
+        let kind = self.one_of(&[
+            FaultKind::DiscoverySilent,
+            FaultKind::DiscoveryClosed,
+            FaultKind::DiscoveryMoved,
+        ]);
+        let worker = self.below(scenario.fleet.workers as u64) as usize;
+        let drain_at_ms = at_ms + self.below(duration_ms);
+        scenario
+            .faults
+            .push(Fault::new(at_ms, kind, []).with_duration(duration_ms));
+        scenario
+            .faults
+            .push(Fault::new(drain_at_ms, FaultKind::Drain, [worker]));
+        scenario.seconds = 14.0;
+        scenario
+    }
+}
+
 impl Scenario {
     /// Generates the scenario of a seed: a small fleet, workers that join, and one to four more faults. The same seed
     /// always gives the same scenario.
@@ -108,7 +140,7 @@
         let slow_start = generator.slow_start();
         let links = generator.links();
         let faults = generator.faults(&fleet);
-        Scenario {
+        let scenario = Scenario {
             name: format!("drawn {seed}"),
             seed,
             seconds: 9.0,
@@ -117,6 +149,11 @@
             slow_start,
             links,
             faults,
+        };
+        if seed % DISCOVERY_OUTAGE_INTERVAL == DISCOVERY_OUTAGE_REMAINDER {
+            generator.with_discovery_outage(scenario)
+        } else {
+            scenario
         }
     }
 }
--- a/crates/cluster-testbed/src/stubs/discovery.rs
+++ b/crates/cluster-testbed/src/stubs/discovery.rs
@@ -141,6 +141,17 @@
         discovery
     }
 
+    /// Starts another service with a list of these endpoints, whose version is higher.
+    pub fn successor(&self, endpoints: Vec<Value>) -> Discovery {
+        let successor = Discovery::start(endpoints);
+        let version = self.shared.state.lock().unwrap().version + 1;
+        successor.change(|state| {
+            state.version = version;
+            state.has_full_list = true;
+        });
+        successor
+    }
+
     /// Answers one watch. Returns `None` to close the connection.
     fn answer(&self, mut stream: &TcpStream) -> Option<()> {
         let (head, _) = read_message(&mut BufReader::new(stream))?;
@@ -297,7 +308,12 @@
         self.wait_until(|state| state.watches >= count);
     }
 
-    /// Closes connections without an answer, until [`Discovery::restart`].
+    /// Answers again, after [`Discovery::shut_down`], with the present list.
+    pub fn reopen(&self) {
+        self.change(|state| state.down = false);
+    }
+
+    /// Closes connections without an answer, until [`Discovery::restart`] or [`Discovery::reopen`].
     pub fn shut_down(&self) {
         self.change(|state| state.down = true);
     }
--- a/crates/cluster-testbed/src/testbed.rs
+++ b/crates/cluster-testbed/src/testbed.rs
@@ -1,5 +1,6 @@
 //! Runs one scenario: daemon processes, simulated workers and discovery, clients, and faults.
 mod client;
+mod discovery;
 mod dispatchers;
 mod faults;
 mod membership;
@@ -39,6 +40,10 @@
     begin: Instant,
     folder: PathBuf,
     discovery: Discovery,
+    /// End of the latest outage of discovery.
+    discovery_outage_ends: Instant,
+    /// Time from which dispatchers are accountable for what was published in that outage.
+    accountable_after_outage: Instant,
     relay: Relay,
     /// Second and third byte of the dispatchers' loopback addresses for datagrams.
     subnet: [u8; 2],
--- a/crates/cluster-testbed/src/testbed/dispatchers.rs
+++ b/crates/cluster-testbed/src/testbed/dispatchers.rs
@@ -107,6 +107,11 @@
             .configured_multiple
             .unwrap_or(slow_start.overload_multiple);
         let expiry_ns = self.scenario.load.expiry_ms * 1_000_000;
+        settings["RegistryMode"] = if self.scenario.fleet.polls_endpoints {
+            "on_request".into()
+        } else {
+            "pushed".into()
+        };
         settings["Me"] = number.into();
         settings["Siblings"] = self.scenario.fleet.expected_dispatchers().into();
         settings["Contract"] = json!({
--- a/crates/cluster-testbed/src/testbed/faults.rs
+++ b/crates/cluster-testbed/src/testbed/faults.rs
@@ -1,9 +1,11 @@
 //! Beginning and end of the faults of a scenario.
 use super::Testbed;
+use super::discovery::OutageKind;
 use crate::error::TestbedError;
 use crate::relay::LinkConditions;
 use crate::scenario::{Fault, FaultKind};
 use crate::worker::WorkerFault;
+use std::time::Duration;
 
 /// Time between the SIGTERM of a dispatcher and its restart.
 const RESTART_AFTER_MS: u64 = 1_500;
@@ -100,6 +102,7 @@
 
     fn begin_fault(&mut self, fault: &Fault) -> Result<(), TestbedError> {
         let targets = self.target_dispatchers(fault);
+        let duration = Duration::from_millis(fault.duration_ms);
         match fault.kind {
             FaultKind::Kill => targets.iter().for_each(|number| self.kill(*number)),
             FaultKind::Pause => targets.iter().for_each(|number| self.pause(*number)),
@@ -122,6 +125,9 @@
             FaultKind::DropInbound => self.cut_links(&targets, INBOUND),
             FaultKind::DropOutbound => self.cut_links(&targets, OUTBOUND),
             FaultKind::LinkConditions => self.relay.set_default(fault.link),
+            FaultKind::DiscoverySilent => self.interrupt_discovery(OutageKind::Silent, duration),
+            FaultKind::DiscoveryClosed => self.interrupt_discovery(OutageKind::Closed, duration),
+            FaultKind::DiscoveryMoved => self.move_discovery(duration)?,
         }
         Ok(())
     }
@@ -149,7 +155,14 @@
                 self.set_links(&targets, BOTH, None);
             }
             FaultKind::LinkConditions => self.relay.set_default(self.scenario.links),
-            FaultKind::Shutdown | FaultKind::Start | FaultKind::AddWorkers | FaultKind::Drain => {}
+            // Outages of discovery end by themselves.
+            FaultKind::Shutdown
+            | FaultKind::Start
+            | FaultKind::AddWorkers
+            | FaultKind::Drain
+            | FaultKind::DiscoverySilent
+            | FaultKind::DiscoveryClosed
+            | FaultKind::DiscoveryMoved => {}
         }
         Ok(())
     }
--- a/crates/cluster-testbed/src/testbed/setup.rs
+++ b/crates/cluster-testbed/src/testbed/setup.rs
@@ -96,6 +96,8 @@
             begin,
             folder,
             discovery,
+            discovery_outage_ends: begin,
+            accountable_after_outage: begin,
             relay,
             subnet: [(64 + pid % 128) as u8, (pid / 128 + serial) as u8],
             dispatchers: (0..count).map(|_| Dispatcher::default()).collect(),
--- a/crates/cluster-testbed/src/testbed/workers.rs
+++ b/crates/cluster-testbed/src/testbed/workers.rs
@@ -42,7 +42,7 @@
         self.discovery.publish(changed, self.endpoints.clone());
         self.drains.push(Drain {
             worker,
-            at: Instant::now(),
+            at: self.accountable_from(),
         });
     }
 }
--- a/crates/rosewalld/tests/cluster.rs
+++ b/crates/rosewalld/tests/cluster.rs
@@ -322,3 +322,19 @@
     );
     assert!(testbed.finish().violations.is_empty());
 }
+
+/// Guards against a drain that is never heard because the service of a new configuration was out of reach at first, or
+/// because the one that is followed was.
+#[test_case::test_case(FaultKind::DiscoveryMoved, true; "a polled list moves to a service that closes connections")]
+#[test_case::test_case(FaultKind::DiscoveryMoved, false; "a pushed list moves to a service that closes connections")]
+#[test_case::test_case(FaultKind::DiscoveryClosed, true; "the service of a polled list closes connections")]
+#[test_case::test_case(FaultKind::DiscoverySilent, false; "the service of a pushed list is silent")]
+fn a_drain_during_an_outage_of_discovery_is_kept(outage: FaultKind, polled: bool) {
+    let faults = vec![
+        Fault::new(1_000, outage, []).with_duration(3_000),
+        Fault::new(2_700, FaultKind::Drain, [0]),
+    ];
+    let mut scenario = scenario(3, 14.0, faults);
+    scenario.fleet.polls_endpoints = polled;
+    run_without_violations(&scenario);
+}
