--- a/crates/cluster-testbed/src/stubs/discovery.rs
+++ b/crates/cluster-testbed/src/stubs/discovery.rs
@@ -32,6 +32,8 @@
     unresponsive: bool,
     /// Whether only half of the next response is sent, after which its connection stays open.
     truncates_next: bool,
+    /// Time by which each response is late.
+    answer_delay: Duration,
     /// Pause after each part of a response; `None` to send responses at once.
     part_pause: Option<Duration>,
 }
@@ -178,8 +180,13 @@
             hold_open(stream);
             return None;
         }
-        let part_pause = state.part_pause;
+        let State {
+            part_pause,
+            answer_delay,
+            ..
+        } = *state;
         drop(state);
+        std::thread::sleep(answer_delay);
         match part_pause {
             None => stream.write_all(response.as_bytes()).ok(),
             Some(pause) => write_slowly(stream, response.as_bytes(), pause),
@@ -242,6 +249,11 @@
         self.change(|state| state.part_pause = Some(pause));
     }
 
+    /// Sends all further responses late by this time, as they were when the watch ended.
+    pub fn answer_late(&self, delay: Duration) {
+        self.change(|state| state.answer_delay = delay);
+    }
+
     /// Publishes changes, and the full list for new watches and for those that missed a change. Does not wait for the
     /// daemon.
     pub fn publish(&self, changed: Vec<Value>, all: Vec<Value>) {
--- a/crates/rosewalld/tests/teardown.rs
+++ b/crates/rosewalld/tests/teardown.rs
@@ -185,6 +185,29 @@
     assert_first_worker_is_avoided(&fleet.daemon, &fleet.workers);
 }
 
+/// Guards against answers that are never heard, as each call is given up before its answer comes: the lists of a service
+/// that takes 1.5 s for each answer must be applied in time.
+#[test_case("pushed"; "a pushed list")]
+#[test_case("on_request"; "a polled list")]
+fn a_drain_in_a_list_that_is_answered_late_is_applied_in_time(mode: &str) {
+    let fleet = Fleet::new(mode);
+    fleet.discovery.answer_late(Duration::from_millis(1_500));
+    let calls = fleet.discovery.watch_count();
+    if mode == "pushed" {
+        // The watch that was open when the answers became late has been given up.
+        fleet.discovery.wait_for_watches(calls + 2);
+    }
+    fleet.drain_first_worker(&fleet.discovery);
+    let started_at = Instant::now();
+    fleet.discovery.wait_until_list_is_read();
+    assert!(
+        started_at.elapsed() < Duration::from_secs(6),
+        "list applied after {:?}",
+        started_at.elapsed()
+    );
+    assert_first_worker_is_avoided(&fleet.daemon, &fleet.workers);
+}
+
 #[test_case("draining")]
 #[test_case("gone")]
 fn an_attempt_whose_worker_drains_while_it_connects_is_not_sent(health: &str) {
--- a/crates/simulation/src/scenario.rs
+++ b/crates/simulation/src/scenario.rs
@@ -40,7 +40,7 @@
     #[serde(default, rename = "members")]
     pub membership: Option<Membership>,
     /// Whether dispatchers poll their endpoint lists; otherwise these are pushed.
-    #[serde(default, rename = "polled", skip_serializing_if = "is_false")]
+    #[serde(default, rename = "polled", skip_serializing_if = "std::ops::Not::not")]
     pub polls_endpoints: bool,
     /// Request classes; at least one.
     #[serde(rename = "scheme")]
@@ -62,14 +62,6 @@
     pub faults: Vec<Fault>,
 }
 
-#[expect(
-    clippy::trivially_copy_pass_by_ref,
-    reason = "the signature that serde requires"
-)]
-fn is_false(value: &bool) -> bool {
-    !value
-}
-
 fn one() -> usize {
     1
 }
