--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -22,6 +22,7 @@
     ("Bounds.MaxRetryAfterNs", "retry_after.max"),
     ("Contract.AskWithinNs", "endpoints.poll_within"),
     ("Contract.StopSendingWithinNs", "endpoints.drain_grace"),
+    ("Contract.MayShedBegun", "at_capacity.may_have_run"),
     ("Contract.ColdFrom", "slow_start.from"),
     ("Contract.ColdNs", "slow_start.duration"),
     ("Contract.FallMultiple", "overload.multiple"),
--- a/src/policy/attempts.rs
+++ b/src/policy/attempts.rs
@@ -227,7 +227,7 @@
         let input = if complete {
             RequestInput::Succeeded
         } else {
-            classify_outcome(outcome)
+            classify_outcome(outcome, self.settings.at_capacity)
         };
         if input == RequestInput::MayHaveRun {
             self.requests[key].record_uncertain_attempt(&attempt);
@@ -255,8 +255,7 @@
         if outcome == Outcome::ConnectFailed {
             worker.record_connect_failure(now);
         }
-        let was_sent = outcome != Outcome::NotSent;
-        if was_sent && classify_outcome(outcome) == RequestInput::NotRun {
+        if matches!(outcome, Outcome::AtCapacity | Outcome::ConnectFailed) {
             // The worker rejects at once. Without this delay it would appear idle and attract all
             // requests.
             let time_left = active.objective_deadline.saturating_sub(now) as f64;
--- a/src/policy/dispatcher/tests/rules.rs
+++ b/src/policy/dispatcher/tests/rules.rs
@@ -7,6 +7,7 @@
 use crate::policy::test_support::{
     MS, dispatcher_of, endpoint, request, warm_endpoints, worker_id,
 };
+use crate::settings::AtCapacityMeaning;
 use crate::state::{RequestInput, UncertainAttempt};
 use crate::time::SECOND;
 use crate::types::{
@@ -262,7 +263,7 @@
         let attempt = self.in_flight.remove(0);
         let complete = self.answers > 0 || outcome == Outcome::Succeeded;
         self.answers += usize::from(complete && self.answers == 0);
-        if classify_outcome(outcome) == RequestInput::MayHaveRun {
+        if classify_outcome(outcome, AtCapacityMeaning::NotRun) == RequestInput::MayHaveRun {
             self.first_uncertain.get_or_insert(UncertainAttempt {
                 worker: attempt.worker,
                 sent_at: attempt.sent_at,
--- a/src/policy/lifecycle.rs
+++ b/src/policy/lifecycle.rs
@@ -2,6 +2,7 @@
 //! idempotency of the request.
 use super::Dispatcher;
 use crate::mutation::{Mutation, is_active};
+use crate::settings::AtCapacityMeaning;
 use crate::settings::Idempotency::{self, Idempotent, IdempotentWithKey, NonIdempotent};
 use crate::state::RequestInput::{
     self, AttemptSent, ClientDisconnected, GivenUp, MayHaveRun, NotRun, Succeeded,
@@ -95,9 +96,10 @@
 
 /// Maps the outcome of an attempt to an input of its request. An attempt counts as not run only if
 /// the outcome proves it.
-pub(super) fn classify_outcome(outcome: Outcome) -> RequestInput {
+pub(super) fn classify_outcome(outcome: Outcome, at_capacity: AtCapacityMeaning) -> RequestInput {
     match outcome {
         Outcome::Succeeded => Succeeded,
+        Outcome::AtCapacity if at_capacity == AtCapacityMeaning::MayHaveRun => MayHaveRun,
         Outcome::AtCapacity | Outcome::ConnectFailed | Outcome::NotSent => NotRun,
         // Any other worker would reject the request too.
         Outcome::InvalidRequest => GivenUp,
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -89,6 +89,27 @@
     }
 }
 
+/// What follows from a worker that is at capacity.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) enum AtCapacityMeaning {
+    /// The request did not run.
+    #[default]
+    NotRun,
+    /// The worker may have begun the request before.
+    MayHaveRun,
+}
+
+impl AtCapacityMeaning {
+    fn read(map: &SettingsMap) -> Result<Self, SettingsError> {
+        let may_have_run = read_setting_or(map, "at_capacity.may_have_run", false)?;
+        Ok(if may_have_run {
+            AtCapacityMeaning::MayHaveRun
+        } else {
+            AtCapacityMeaning::NotRun
+        })
+    }
+}
+
 /// Unit to which the priority weights of the settings refer.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub(crate) enum WeightBasis {
@@ -212,6 +233,8 @@
     pub(crate) max_retry_after: f64,
     /// Whether workers report that a request has started.
     pub(crate) reports_starts: bool,
+    /// What follows from a worker that is at capacity.
+    pub(crate) at_capacity: AtCapacityMeaning,
     /// Fraction of its capacity that a worker has when it starts.
     pub(crate) slow_start_initial: f64,
     pub(crate) slow_start_duration: f64,
@@ -238,6 +261,7 @@
             max_retry_after: read_quantity(map, "retry_after.allowed")?
                 * read_quantity(map, "retry_after.max")?,
             reports_starts: read_quantity(map, "start_notes")? > 0.0,
+            at_capacity: AtCapacityMeaning::read(map)?,
             slow_start_initial: read_quantity(map, "slow_start.from")?,
             slow_start_duration: read_quantity(map, "slow_start.duration")?,
             overload_multiple: read_quantity(map, "overload.multiple")?,
