--- a/crates/protocol/src/client/mod.rs
+++ b/crates/protocol/src/client/mod.rs
@@ -1,5 +1,6 @@
 //! The client side: parses requests and encodes answers.
 mod answer;
+mod read_times;
 mod request_head;
 mod request_reader;
 
@@ -7,6 +8,7 @@
     Answer, CONTINUE_RESPONSE, encode_answer, encode_incomplete_request, encode_readiness,
     encode_refusal, encode_response,
 };
+pub use read_times::ReadTimes;
 pub use request_reader::RequestReader;
 
 use crate::wire::reason;
--- a/crates/protocol/src/tests/client.rs
+++ b/crates/protocol/src/tests/client.rs
@@ -1,6 +1,6 @@
 //! Tests of reading the requests of clients and encoding the answers.
 use super::{REQUEST_HEAD, client_events};
-use crate::client::{Answer, ClientEvent, ClientRequest, encode_answer};
+use crate::client::{Answer, ClientEvent, ClientRequest, ReadTimes, encode_answer};
 use crate::http::{HttpError, MAX_HEAD_BYTES, ReadBuffer};
 use crate::names::index_of_name;
 use test_case::test_case;
@@ -35,6 +35,32 @@
     }
 }
 
+/// A request that waits behind another one has its time from when its own last byte was read.
+#[test]
+fn bytes_have_the_times_at_which_they_were_read() {
+    const SECOND: u64 = 1_000_000_000;
+    let mut times = ReadTimes::default();
+    assert_eq!(times.time_before(0), None);
+    times.record(SECOND, 100);
+    times.record(SECOND + 1, 50);
+    times.record(3 * SECOND, 10);
+
+    assert_eq!(times.time_before(60), Some(SECOND));
+    assert_eq!(times.time_before(10), Some(SECOND));
+    assert_eq!(times.time_before(9), Some(3 * SECOND));
+    assert_eq!(times.time_before(0), Some(3 * SECOND));
+}
+
+/// A client that sends single bytes must not make the number of times grow.
+#[test]
+fn the_times_of_reads_are_limited() {
+    let mut times = ReadTimes::default();
+    for read in 0..100_000 {
+        times.record(read * 1_000_000_000, 1);
+    }
+    assert!(times.len() <= 256);
+}
+
 #[test]
 fn continue_is_sent_once_and_only_while_the_body_is_missing() {
     let head = [
--- a/crates/rosewalld/tests/daemon/connections.rs
+++ b/crates/rosewalld/tests/daemon/connections.rs
@@ -4,7 +4,7 @@
     Daemon, Discovery, StubResponse, Worker, configuration, endpoint_json, request, response_queue,
 };
 use std::sync::atomic::Ordering;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// A close by the worker becomes visible at the socket of the daemon only after a delay.
 const CLOSE_VISIBLE_AFTER: Duration = Duration::from_millis(100);
@@ -108,3 +108,28 @@
     ];
     assert_eq!(answers, [b"did first".to_vec(), b"did second".to_vec()]);
 }
+
+/// Guards against requests that wait in the buffer and are given their full time again when they are taken from it: the
+/// time of each counts from its last byte.
+#[test]
+fn requests_that_are_sent_at_once_are_answered_by_their_deadlines() {
+    const REQUESTS: usize = 8;
+    const DEADLINE: Duration = Duration::from_secs(1);
+    let fleet = start_fleet(&[StubResponse::DoneAfterMs(400); REQUESTS]);
+    let mut client = fleet.daemon.client();
+    let texts: Vec<String> = (0..REQUESTS)
+        .map(|at| request(&format!("id{at}"), "thumb", DEADLINE.as_secs_f64(), "", "x"))
+        .collect();
+    let sent_at = Instant::now();
+    client.send(texts.concat().as_bytes());
+    let statuses: Vec<u16> = (0..REQUESTS)
+        .map(|_| client.read_response().unwrap().status)
+        .collect();
+    let answered_after = sent_at.elapsed();
+    // Half a second later an answer counts as lost.
+    assert!(
+        answered_after < DEADLINE + Duration::from_millis(500),
+        "the last of {statuses:?} came after {answered_after:?}"
+    );
+    assert_eq!(statuses[0], 200);
+}
--- a/crates/runtime/src/client/connection.rs
+++ b/crates/runtime/src/client/connection.rs
@@ -14,7 +14,7 @@
 use rosewall::types::Nanos;
 use rosewall_engine::limits::{DescriptorPermit, IdleClient};
 use rosewall_protocol::client::{
-    Answer, CONTINUE_RESPONSE, ClientEvent, ClientRequest, RequestReader, encode_answer,
+    Answer, CONTINUE_RESPONSE, ClientEvent, ClientRequest, ReadTimes, RequestReader, encode_answer,
     encode_incomplete_request, encode_readiness, encode_refusal,
 };
 use std::io;
@@ -89,6 +89,7 @@
     context: Rc<Context<R>>,
     stream: R::Stream,
     reader: RequestReader,
+    read_times: ReadTimes,
     buffer: Vec<u8>,
     /// Whether the client has sent a request or a readiness check before.
     has_sent_request: bool,
@@ -110,6 +111,7 @@
             context,
             stream,
             reader: RequestReader::default(),
+            read_times: ReadTimes::default(),
             buffer: vec![0; READ_BUFFER_BYTES],
             has_sent_request: false,
             service: admission.service,
@@ -173,7 +175,10 @@
         } else {
             0
         };
-        let arrived_at = self.now().saturating_sub(backlog_wait);
+        let unused_bytes = self.reader.buffered_bytes();
+        let read_at = self.read_times.time_before(unused_bytes);
+        let read_at = read_at.filter(|_| !is_active(Mutation::IgnoreReadTimes));
+        let arrived_at = read_at.unwrap_or(self.now()).saturating_sub(backlog_wait);
         if self.service == Service::RejectOnly && !self.acquire_slot().await {
             self.context.counters.clients_rejected.add();
             let answer = Answer::Rejected { retry_after: 0 };
@@ -249,7 +254,7 @@
             match self.read_until(deadline, &close).await {
                 Ok(0) => return Err(io::ErrorKind::UnexpectedEof.into()),
                 Ok(count) => {
-                    self.reader.feed(&self.buffer[..count]);
+                    self.feed(count);
                     // A client that sends faster than this task reads must not block other tasks.
                     yield_now().await;
                 }
@@ -264,6 +269,12 @@
         }
     }
 
+    /// Passes the bytes that were read last to the reader.
+    fn feed(&mut self, count: usize) {
+        self.reader.feed(&self.buffer[..count]);
+        self.read_times.record(self.now(), count);
+    }
+
     fn first_byte_timeout(&self) -> Duration {
         match (self.service, self.has_sent_request) {
             (Service::RejectOnly, _) => REJECTED_REQUEST_TIMEOUT,
--- a/crates/runtime/src/client/connection/receive.rs
+++ b/crates/runtime/src/client/connection/receive.rs
@@ -104,7 +104,7 @@
         if self.has_overflowed {
             return count;
         }
-        self.reader.feed(&self.buffer[..count]);
+        self.feed(count);
         0
     }
 
--- a/crates/simulation/src/client/misbehaving.rs
+++ b/crates/simulation/src/client/misbehaving.rs
@@ -259,7 +259,7 @@
             if self.write(text.as_bytes()).await.is_none() {
                 break;
             }
-            self.request_sent(request, Nanos::MAX);
+            self.request_sent(request, self.now() + self.spec.timeout);
             self.clients
                 .context
                 .checker
--- a/crates/simulation/tests/exploration_lock.rs
+++ b/crates/simulation/tests/exploration_lock.rs
@@ -21,6 +21,6 @@
         }
     }
 
-    assert_eq!(total, [843_325, 52_638, 50_326, 46_913]);
-    assert_eq!(digest, 15_152_843_894_163_540_181);
+    assert_eq!(total, [843_498, 52_650, 50_368, 46_891]);
+    assert_eq!(digest, 6_324_419_932_043_854_066);
 }
--- a/src/mutation.rs
+++ b/src/mutation.rs
@@ -49,6 +49,8 @@
     TrustCachedList,
     /// A request that was sent ahead is forwarded before what follows it is read, which is slow.
     IgnoreBytesSentAhead,
+    /// The time of a request that was sent ahead counts from when it is taken from the buffer.
+    IgnoreReadTimes,
     // Limits on what one dispatcher holds.
     /// Timers of completed requests are kept until they fire.
     KeepCompletedTimers,
@@ -168,6 +170,7 @@
     Mutation::AbandonNewDiscovery,
     Mutation::TrustCachedList,
     Mutation::IgnoreBytesSentAhead,
+    Mutation::IgnoreReadTimes,
 ];
 
 /// Mutations of the limits on what one dispatcher holds, which the tests of `rosewall-engine` must
