--- a/crates/cluster-testbed/src/pressure.rs
+++ b/crates/cluster-testbed/src/pressure.rs
@@ -1,6 +1,8 @@
 //! One dispatcher at its limits on memory, descriptors and processor time, with misbehaving clients beside regular
 //! ones. The report counts what workers and clients recorded, and the peak memory of the process.
+mod attack;
 mod client;
+mod misbehaving_client;
 mod misbehaviour;
 mod report;
 mod worker;
@@ -11,8 +13,8 @@
 use crate::process::child_command;
 use crate::scale::system::peak_resident_bytes;
 use crate::stubs::{Daemon, Discovery, configuration, endpoint_json};
+use attack::{Attack, MisbehavingClients};
 use client::RegularClients;
-use misbehaviour::{Attack, MisbehavingClients};
 use std::process::{Child, Stdio};
 use std::time::{Duration, Instant};
 use worker::RecordingWorker;
--- a/crates/cluster-testbed/src/pressure/report.rs
+++ b/crates/cluster-testbed/src/pressure/report.rs
@@ -1,6 +1,6 @@
 //! Result of a run under pressure.
+use super::attack::{Departure, Record};
 use super::client::Outcome;
-use super::misbehaviour::Departure;
 use super::worker::Execution;
 use serde::Serialize;
 use std::collections::HashMap;
@@ -43,7 +43,7 @@
         peak_memory_bytes: u64,
         has_crashed: bool,
         outcomes: &[Outcome],
-        misbehaving: &super::misbehaviour::Record,
+        misbehaving: &Record,
         executions: Vec<Execution>,
     ) -> PressureReport {
         let count = |outcome| outcomes.iter().filter(|each| **each == outcome).count();
